Send each object to one home server

The choice preferred the next rank of rendezvous hashing for a fifth of a run time, so objects were fetched again and again, and the servers were saturated by fetching. Change: familiar and unfamiliar run times are learnt apart; all instances send an object to the same home server, elsewhere only when the wait there costs more than half of the fetch. Answers cost more to move out of the data centre.

--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -453,7 +453,8 @@
         attempt.add("server", each.server.str()).add("occupancy", each.occupancy);
         if (each.report_age)
             attempt.add_ms("report_age_ms", *each.report_age);
-        attempt.add_ms("expected_ms", each.expected_time)
+        attempt.add("familiar", each.familiar)
+            .add_ms("expected_ms", each.expected_time)
             .add("outcome", core::name_of(each.outcome))
             .add_ms("taken_ms", each.taken);
         attempts += (attempts.empty() ? "" : ",") + attempt.str();
--- a/source/steering/backend_server.cpp
+++ b/source/steering/backend_server.cpp
@@ -4,17 +4,27 @@
 
 namespace knapweed::steering {
 
+namespace {
+
+/** Servers keep a few dozen objects at hand; what is remembered beyond that would be wrong. */
+constexpr std::size_t remembered_objects = 64;
+
+} // namespace
+
 backend_server::backend_server(server_record record, core::region_id region, const core::clock& time)
     : record_(std::move(record)), region_(std::move(region)), id_hash_(core::hash_text(record_.id.str())),
-      slots_(std::max(record_.slots, 1U)), load_(time), failures_(time), cold_(time), speed_(time)
+      slots_(std::max(record_.slots, 1U)), load_(time), failures_(time), cold_(time), speed_(time),
+      objects_(remembered_objects)
 {
     cold_.set_cold_left(record_.cold_left);
 }
 
 void backend_server::update(server_record record)
 {
-    if (record.cold_left.count() > 0)
+    if (record.cold_left.count() > 0) {
         cold_.set_cold_left(record.cold_left);
+        objects_.clear();
+    }
     replaced_ = replaced_ && record.address == record_.address;
     slots_ = std::max(record.slots, 1U);
     record_ = std::move(record);
--- a/source/steering/backend_server.h
+++ b/source/steering/backend_server.h
@@ -2,6 +2,7 @@
 
 #include "steering/cold_start_limit.h"
 #include "steering/failure_record.h"
+#include "steering/object_memory.h"
 #include "steering/occupancy_estimate.h"
 #include "steering/speed_estimate.h"
 
@@ -44,6 +45,9 @@
     [[nodiscard]] speed_estimate& speed() noexcept { return speed_; }
     [[nodiscard]] const speed_estimate& speed() const noexcept { return speed_; }
 
+    [[nodiscard]] object_memory& objects() noexcept { return objects_; }
+    [[nodiscard]] const object_memory& objects() const noexcept { return objects_; }
+
     /** Another server has answered at its address: it gets nothing until its record changes. */
     void mark_replaced() noexcept { replaced_ = true; }
     [[nodiscard]] bool is_replaced() const noexcept { return replaced_; }
@@ -58,6 +62,7 @@
     failure_record failures_;
     cold_start_limit cold_;
     speed_estimate speed_;
+    object_memory objects_;
 };
 
 } // namespace knapweed::steering
--- a/source/steering/request_plan.h
+++ b/source/steering/request_plan.h
@@ -31,6 +31,7 @@
     core::server_id server;
     double occupancy = 0;                     ///< estimated when it was sent
     std::optional<core::duration> report_age; ///< of the load report behind the estimate
+    bool familiar = false;                    ///< this instance had sent the object to the server before
     core::duration expected_time{};
     attempt_outcome outcome = attempt_outcome::not_connected;
     core::duration taken{};
--- a/source/steering/server_choice.cpp
+++ b/source/steering/server_choice.cpp
@@ -1,7 +1,7 @@
 #include "steering/server_choice.h"
 
 #include <algorithm>
-#include <array>
+#include <optional>
 
 namespace knapweed::steering {
 
@@ -9,12 +9,8 @@
 
 using milliseconds_d = std::chrono::duration<double, std::milli>;
 
-/** A server that has not handled the object takes about this part of the run time longer. */
-constexpr double unfamiliar_share = 0.4;
-/** Part of the candidates that come to know an object; bounds how many servers keep it at hand. */
-constexpr double familiar_share = 0.6;
-/** Ranks of rendezvous hashing that are told apart. */
-constexpr std::size_t ranks = 8;
+/** Part of the time for fetching an object that counts against a server: later requests profit from it. */
+constexpr double fetch_share = 0.5;
 /** Part of the run time by which an answer may miss its target for want of a free slot. */
 constexpr double late_allowance = 0.35;
 /** A cold server takes about twice the time. */
@@ -23,8 +19,8 @@
 constexpr milliseconds_d failure_cost{500};
 /** Cost of moving a kilobyte out of the data centre or region, in waiting time: links between regions are
    narrow and shared. */
-constexpr milliseconds_d cost_per_kilobyte_same_region{0.6};
-constexpr milliseconds_d cost_per_kilobyte_other_region{2.0};
+constexpr milliseconds_d cost_per_kilobyte_same_region{1.5};
+constexpr milliseconds_d cost_per_kilobyte_other_region{3.0};
 /** Part of the time left that a request may be expected to take; the rest is for errors of the estimate. */
 constexpr double usable_time_left = 0.9;
 
@@ -57,42 +53,47 @@
     return request.answer_kilobytes * cost_per_kilobyte_other_region;
 }
 
-scored score(const choice_request& request, const server_pointer& server, const distance_table& distances)
+/** @returns the server that all instances send the object to first, nothing for a request without an object.
+ */
+const backend_server* home_of(std::uint64_t object, std::span<const server_pointer> candidates)
+{
+    if (object == 0)
+        return nullptr;
+    const backend_server* home = nullptr;
+    std::uint64_t highest = 0;
+    for (const auto& server : candidates) {
+        const auto weight = mix(object ^ server->id_hash());
+        if (home == nullptr || weight > highest) {
+            home = server.get();
+            highest = weight;
+        }
+    }
+    return home;
+}
+
+scored score(const choice_request& request, const server_pointer& server, bool is_home,
+             const distance_table& distances)
 {
     const place at{server->record().data_centre, server->region()};
-    const milliseconds_d run = request.run_time;
+    const bool has_object = request.object_hash != 0;
+    const bool familiar = has_object && (is_home || server->objects().knows(request.object_hash));
+    milliseconds_d run = request.run_time;
+    if (has_object)
+        run = familiar ? request.familiar_run_time : request.unfamiliar_run_time;
     const double slots = server->slots();
     const double ahead = std::max(0.0, server->load().total() + 1 - slots);
     const double slowness = server->speed().slowness() * (server->cold().is_cold() ? cold_factor : 1.0);
     scored result;
     result.server = &server;
-    result.wait = run * slowness * ahead / slots;
+    result.wait = milliseconds_d(request.run_time) * slowness * ahead / slots;
     result.expected = milliseconds_d(distances.round_trip(at)) + result.wait + run * slowness;
     result.cost = result.expected + server->failures().failure_share() * failure_cost +
                   transfer_cost(request, distances.to(at));
+    if (has_object && !familiar)
+        result.cost -= (run - milliseconds_d(request.familiar_run_time)) * (1 - fetch_share);
     return result;
 }
 
-/** Adds to each candidate's cost what it takes longer because it may not know the object. */
-void add_affinity(const choice_request& request, std::vector<scored>& candidates)
-{
-    if (request.object_hash == 0 || candidates.size() < 2)
-        return;
-    std::vector<std::pair<std::uint64_t, std::size_t>> order;
-    order.reserve(candidates.size());
-    for (std::size_t i = 0; i < candidates.size(); ++i)
-        order.emplace_back(mix(request.object_hash ^ (*candidates[i].server)->id_hash()), i);
-    const auto told_apart = std::min(ranks, order.size());
-    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(told_apart), order.end(),
-                      std::greater<>{});
-    const double width = std::max(1.0, familiar_share * static_cast<double>(order.size()));
-    for (std::size_t i = 0; i < order.size(); ++i) {
-        const double rank = static_cast<double>(std::min(i, ranks));
-        candidates[order[i].second].cost +=
-            milliseconds_d(request.run_time) * unfamiliar_share * std::min(1.0, rank / width);
-    }
-}
-
 bool has_room(const choice_request& request, const scored& candidate)
 {
     const milliseconds_d run = request.run_time;
@@ -113,24 +114,25 @@
                                                      std::span<const server_pointer> excluded,
                                                      const distance_table& distances)
 {
-    std::vector<scored> able;
+    std::vector<server_pointer> able;
     able.reserve(candidates.size());
     for (const auto& server : candidates) {
         if (server->failures().is_suspended() || !server->cold().may_start(request.cold_spacing))
             continue;
         if (std::find(excluded.begin(), excluded.end(), server) == excluded.end())
-            able.push_back(score(request, server, distances));
+            able.push_back(server);
     }
     if (able.empty())
         return no_choice{};
-    add_affinity(request, able);
-    const scored* best = nullptr;
+    const auto* const home = home_of(request.object_hash, able);
+    std::optional<scored> best;
     no_choice refused{core::refusal_reason::deadline_unmeetable, core::duration::max()};
-    for (const auto& candidate : able) {
+    for (const auto& server : able) {
+        const auto candidate = score(request, server, server.get() == home, distances);
         const bool in_time = ends_in_time(request, candidate);
         if (in_time && has_room(request, candidate)) {
-            if (best == nullptr || candidate.cost < best->cost)
-                best = &candidate;
+            if (!best || candidate.cost < best->cost)
+                best = candidate;
             continue;
         }
         if (in_time)
@@ -138,7 +140,7 @@
         refused.shortest_wait =
             std::min(refused.shortest_wait, std::chrono::duration_cast<core::duration>(candidate.wait));
     }
-    if (best == nullptr)
+    if (!best)
         return refused;
     return server_choice{*best->server, std::chrono::duration_cast<core::duration>(best->expected),
                          std::chrono::duration_cast<core::duration>(best->wait)};
--- a/source/steering/server_choice.h
+++ b/source/steering/server_choice.h
@@ -10,12 +10,14 @@
 
 /** What the choice of a server needs to know of a request. */
 struct choice_request {
-    std::uint64_t object_hash = 0; ///< of the object that it concerns; 0 for none
-    core::duration time_left{};    ///< until its final answer is due
-    core::duration target_left{};  ///< until its answer is worth less; may be negative
-    core::duration run_time{};     ///< expected time at an idle server
-    double answer_kilobytes = 0;   ///< expected size of the answer
-    core::duration cold_spacing{}; ///< least time between two requests to a cold server
+    std::uint64_t object_hash = 0;        ///< of the object that it concerns; 0 for none
+    core::duration time_left{};           ///< until its final answer is due
+    core::duration target_left{};         ///< until its answer is worth less; may be negative
+    core::duration run_time{};            ///< mean time at a server with a free slot
+    core::duration familiar_run_time{};   ///< at a server that has the object at hand
+    core::duration unfamiliar_run_time{}; ///< at one that does not
+    double answer_kilobytes = 0;          ///< expected size of the answer
+    core::duration cold_spacing{};        ///< least time between two requests to a cold server
 };
 
 /** A server for a request, with what the choice was based on. */
@@ -34,10 +36,11 @@
 /** Chooses the server at which a request is expected to end first, among those with room for it.
 
     Expected time is the round trip, the wait for a slot by the server's estimated occupancy, and the run
-   time. Servers that other requests for the same object use as well are preferred by rendezvous hashing, as
-   they have it at hand; the preference gives way to a free slot elsewhere. Large answers are kept close to
-   the caller. A request joins a server's queue only as far as its target allows, plus a small allowance: a
-   longer queue makes every request in it late.
+   time. A server that has the request's object at hand runs it in a fraction of the time. All instances send
+   an object to the same server first, by rendezvous hashing, and to another one only when the wait there
+   costs more than fetching the object elsewhere. Large answers are kept close to the caller. A request joins
+   a server's queue only as far as its target allows, plus a small allowance: a longer queue makes every
+   request in it late.
 
     @param candidates servers of one service that may get requests. @param excluded servers to leave out, as
     they were tried before.
--- a/source/steering/service_state.h
+++ b/source/steering/service_state.h
@@ -3,6 +3,9 @@
 #include "state/shift_limiter.h"
 #include "steering/arrival_rate.h"
 
+#include <algorithm>
+#include <optional>
+
 namespace knapweed::steering {
 
 /** What this instance knows of one service as a whole. */
@@ -20,17 +23,28 @@
     [[nodiscard]] const arrival_rate& demand() const noexcept { return demand_; }
     [[nodiscard]] state::region_shift_limiter& regions() noexcept { return regions_; }
 
-    /** @returns the expected time of a request at a server with a free slot. */
+    /** @returns the mean time of a request at a server with a free slot. */
     [[nodiscard]] core::duration run_time() const noexcept { return run_time_; }
-    /** @param taken time of a request that did not wait, without the round trip. */
-    void observe_run_time(core::duration taken);
+    /** @returns the expected time at a server that has the request's object at hand. */
+    [[nodiscard]] core::duration familiar_run_time() const noexcept { return familiar_; }
+    /** @returns the expected time at a server that must fetch the object first. */
+    [[nodiscard]] core::duration unfamiliar_run_time() const noexcept
+    {
+        return std::max(familiar_, unfamiliar_);
+    }
+    /** @param taken time of a request that did not wait, without the round trip. @param familiar whether the
+        server had the object at hand, as far as this instance knows; nothing without an object. */
+    void observe_run_time(core::duration taken, std::optional<bool> familiar);
 
 private:
     const core::clock& time_;
     core::time_point created_;
     arrival_rate demand_;
     state::region_shift_limiter regions_;
-    core::duration run_time_ = core::milliseconds(200); ///< until the first answers
+    /** Until the first answers. */
+    core::duration run_time_ = core::milliseconds(200);
+    core::duration familiar_ = core::milliseconds(100);
+    core::duration unfamiliar_ = core::milliseconds(200);
 };
 
 } // namespace knapweed::steering
--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -56,8 +56,8 @@
 
 steerer::steerer(steerer_options options, const core::clock& time)
     : options_(std::move(options)), time_(time), random_(options_.seed), servers_(time),
-      peers_(options_.instance, time), peer_loads_(servers_, time), distances_(options_.at), retries_(retry_options, time),
-      last_tick_(time.now())
+      peers_(options_.instance, time), peer_loads_(servers_, time), distances_(options_.at),
+      retries_(retry_options, time), last_tick_(time.now())
 {}
 
 bool steerer::apply(traffic_policy policy)
@@ -127,7 +127,10 @@
     request.object_hash = plan.object_hash;
     request.time_left = plan.answer_by - now;
     request.target_left = plan.received + plan.matched->target_latency - now;
-    request.run_time = state_of(plan.service).run_time();
+    const auto& state = state_of(plan.service);
+    request.run_time = state.run_time();
+    request.familiar_run_time = state.familiar_run_time();
+    request.unfamiliar_run_time = state.unfamiliar_run_time();
     if (const auto found = answer_kilobytes_.find(plan.matched->name); found != answer_kilobytes_.end())
         request.answer_kilobytes = found->second;
     double cold_rate = 0;
@@ -170,6 +173,10 @@
     note.expected_time = choice.expected_time;
     plan.attempts.push_back(std::move(note));
     plan.tried.push_back(choice.server);
+    if (plan.object_hash != 0) {
+        plan.attempts.back().familiar = server.objects().knows(plan.object_hash);
+        server.objects().remember(plan.object_hash);
+    }
     server.load().request_started();
     server.cold().request_started();
     return send_step{choice.server, plan.answer_by,
@@ -207,7 +214,10 @@
     const bool waited = result.load && result.load->waiting > 0;
     if (result.outcome == attempt_outcome::answered && !waited && !server.cold().is_cold()) {
         const auto round_trip = distances_.round_trip({server.record().data_centre, server.region()});
-        state_of(plan.service).observe_run_time(result.taken - round_trip);
+        std::optional<bool> familiar;
+        if (plan.object_hash != 0)
+            familiar = note.familiar;
+        state_of(plan.service).observe_run_time(result.taken - round_trip, familiar);
         auto& size = answer_kilobytes_.try_emplace(plan.matched->name, result.answer_kilobytes).first->second;
         size += size_weight * (result.answer_kilobytes - size);
     }
--- a/source/steering/steering.h
+++ b/source/steering/steering.h
@@ -9,6 +9,7 @@
 #include "steering/cold_start_limit.h"
 #include "steering/distance_table.h"
 #include "steering/failure_record.h"
+#include "steering/object_memory.h"
 #include "steering/occupancy_estimate.h"
 #include "steering/peer_loads.h"
 #include "steering/peer_table.h"
