Share an overload between the regions half way

Change: planned capacities grow with the root of demand over capacity, so that callers of a region with few servers get part of the others' room.

--- a/source/steering/region_plan.cpp
+++ b/source/steering/region_plan.cpp
@@ -1,6 +1,7 @@
 #include "steering/region_plan.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace knapweed::steering {
 
@@ -9,19 +10,32 @@
 /** Part of a region's capacity that is planned for: above it, waiting times grow steeply. */
 constexpr double planned_utilisation = 0.88;
 
-double planned_capacity(const region_supply& supply)
-{
-    return supply.capacity * planned_utilisation;
-}
+/** Capacity of a region as the plan uses it. */
+struct planned_supply {
+    core::region_id region;
+    double capacity = 0;
+    double demand = 0;
 
-double overflow_of(const region_supply& supply)
-{
-    return std::max(0.0, supply.demand - planned_capacity(supply));
-}
+    [[nodiscard]] double overflow() const { return std::max(0.0, demand - capacity); }
+    [[nodiscard]] double spare() const { return std::max(0.0, capacity - demand); }
+};
 
-double spare_of(const region_supply& supply)
+/** Scales the capacities up to the demand where the demand exceeds them all, so that every region turns away
+   the same part of its callers' requests. */
+std::vector<planned_supply> scale(const std::vector<region_supply>& supplies)
 {
-    return std::max(0.0, planned_capacity(supply) - supply.demand);
+    double capacity = 0;
+    double demand = 0;
+    for (const auto& supply : supplies) {
+        capacity += supply.capacity * planned_utilisation;
+        demand += supply.demand;
+    }
+    const double factor =
+        capacity > 0 ? planned_utilisation * std::sqrt(std::max(1.0, demand / capacity)) : 0;
+    std::vector<planned_supply> planned;
+    for (const auto& supply : supplies)
+        planned.push_back({supply.region, supply.capacity * factor, supply.demand});
+    return planned;
 }
 
 } // namespace
@@ -30,21 +44,22 @@
                                                 const std::vector<region_supply>& supplies)
 {
     state::weights_of<core::region_id> weights;
+    const auto planned = scale(supplies);
     double capacity = 0;
     double own_capacity = 0;
     double own_demand = 0;
     double own_overflow = 0;
     double overflow = 0;
     double spare = 0;
-    for (const auto& supply : supplies) {
+    for (const auto& supply : planned) {
         capacity += supply.capacity;
-        overflow += overflow_of(supply);
-        spare += spare_of(supply);
+        overflow += supply.overflow();
+        spare += supply.spare();
         if (supply.region != own)
             continue;
         own_capacity = supply.capacity;
         own_demand = supply.demand;
-        own_overflow = overflow_of(supply);
+        own_overflow = supply.overflow();
     }
     if (capacity <= 0)
         return weights;
@@ -52,17 +67,17 @@
     const double kept = own_capacity <= 0 ? 0 : std::max(own_demand - moved, 0.0);
     if (own_capacity > 0)
         weights[own] = own_demand <= 0 ? 1 : kept / own_demand;
-    for (const auto& supply : supplies) {
+    for (const auto& supply : planned) {
         if (supply.region == own || spare <= 0 || own_demand <= 0)
             continue;
-        weights[supply.region] = moved * spare_of(supply) / spare / own_demand;
+        weights[supply.region] = moved * supply.spare() / spare / own_demand;
     }
     const bool any =
         std::any_of(weights.begin(), weights.end(), [](const auto& each) { return each.second > 0; });
     if (any)
         return weights;
     // Nothing is to spare and the own region serves nothing: divide by capacity.
-    for (const auto& supply : supplies)
+    for (const auto& supply : planned)
         weights[supply.region] = supply.capacity;
     return weights;
 }
--- a/source/steering/region_plan.h
+++ b/source/steering/region_plan.h
@@ -17,8 +17,8 @@
 
     Each region serves its own callers first. What exceeds its capacity goes to regions with capacity to
    spare, in proportion to it; all regions that overflow share the spare capacity in proportion to their
-   overflow. What fits nowhere stays, to be refused where it arrived. Every instance of a region computes the
-   same.
+   overflow. When the demand exceeds all capacity, the capacities are scaled up to it: then every region turns
+   away the same part of its requests, wherever its servers are. Every instance of a region computes the same.
 
     @returns relative weights by region; empty when no region has capacity.
 */
