--- a/source/steering/object_memory.cpp
+++ b/source/steering/object_memory.cpp
@@ -4,22 +4,20 @@
 
 void object_memory::remember(std::uint64_t object)
 {
-    if (const auto found = by_object_.find(object); found != by_object_.end()) {
-        recent_.splice(recent_.begin(), recent_, found->second);
+    recent_.push_back(object);
+    ++counts_[object];
+    if (recent_.size() <= requests_)
         return;
-    }
-    recent_.push_front(object);
-    by_object_.emplace(object, recent_.begin());
-    if (recent_.size() <= capacity_)
-        return;
-    by_object_.erase(recent_.back());
-    recent_.pop_back();
+    const auto oldest = counts_.find(recent_.front());
+    recent_.pop_front();
+    if (--oldest->second == 0)
+        counts_.erase(oldest);
 }
 
 void object_memory::clear()
 {
     recent_.clear();
-    by_object_.clear();
+    counts_.clear();
 }
 
 } // namespace knapweed::steering
--- a/source/steering/object_memory.h
+++ b/source/steering/object_memory.h
@@ -2,26 +2,26 @@
 
 #include "core/core.h"
 
-#include <list>
+#include <deque>
 #include <unordered_map>
 
 namespace knapweed::steering {
 
-/** The objects that this instance has lately sent requests for to one backend server. The server has them at
-    hand, as far as it does not run out of room for them. */
+/** The objects of the latest requests that this instance sent to one backend server. The server has them at
+   hand: it keeps the objects of its last few dozen requests, and several instances send to it. */
 class object_memory {
 public:
-    /** @param capacity objects that are remembered; the least recently used one is dropped first. */
-    explicit object_memory(std::size_t capacity) : capacity_(capacity) {}
+    /** @param requests that are remembered. */
+    explicit object_memory(std::size_t requests) : requests_(requests) {}
 
     void remember(std::uint64_t object);
-    [[nodiscard]] bool knows(std::uint64_t object) const { return by_object_.contains(object); }
+    [[nodiscard]] bool knows(std::uint64_t object) const { return counts_.contains(object); }
     void clear();
 
 private:
-    std::size_t capacity_;
-    std::list<std::uint64_t> recent_; ///< most recently used first
-    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> by_object_;
+    std::size_t requests_;
+    std::deque<std::uint64_t> recent_;                   ///< latest last
+    std::unordered_map<std::uint64_t, unsigned> counts_; ///< how often each occurs among them
 };
 
 } // namespace knapweed::steering
--- a/source/steering/server_choice.cpp
+++ b/source/steering/server_choice.cpp
@@ -9,8 +9,8 @@
 
 using milliseconds_d = std::chrono::duration<double, std::milli>;
 
-/** Part of the time for fetching an object that counts against a server: later requests profit from it. */
-constexpr double fetch_share = 0.5;
+/** Part of the time for fetching an object that counts against a server. */
+constexpr double fetch_share = 1.0;
 /** Part of the run time by which an answer may miss its target for want of a free slot. */
 constexpr double late_allowance = 0.35;
 /** A cold server takes about twice the time. */
