Plan regions with their own run times and refusals

The plan took the mean run time of all regions, but where two servers share all objects fetching takes more of the time, so the region's capacity was overestimated and too little of its traffic moved. Change: run times by region; the share of requests that found no room in their planned region lowers the capacity that is planned for it.

--- a/source/steering/service_state.cpp
+++ b/source/steering/service_state.cpp
@@ -6,8 +6,10 @@
 
 /** A sample moves the mean by this part of the difference. */
 constexpr int sample_divisor = 24;
-/** Run times at familiar and unfamiliar servers are tracked as quantiles: a server may have dropped an object that
-    counts as familiar, and another instance may have sent it one that counts as unfamiliar. */
+/** Weight of one request in the part that found no room. */
+constexpr double room_weight = 0.03;
+/** Run times at familiar and unfamiliar servers are tracked as quantiles: a server may have dropped an object
+   that counts as familiar, and another instance may have sent it one that counts as unfamiliar. */
 constexpr double familiar_quantile = 0.25;
 constexpr double unfamiliar_quantile = 0.7;
 /** Part of the estimate by which one sample can move a quantile. */
@@ -25,8 +27,35 @@
 
 } // namespace
 
-void service_state::observe_run_time(core::duration taken, std::optional<bool> familiar)
+service_state::region_state& service_state::in(const core::region_id& region)
 {
+    return by_region_.try_emplace(region, region_state{run_time_}).first->second;
+}
+
+core::duration service_state::run_time_in(const core::region_id& region) const
+{
+    const auto found = by_region_.find(region);
+    return found == by_region_.end() ? run_time_ : found->second.run_time;
+}
+
+void service_state::observe_room(const core::region_id& region, bool found)
+{
+    auto& share = in(region).refused_share;
+    share += room_weight * ((found ? 0.0 : 1.0) - share);
+}
+
+double service_state::refused_share(const core::region_id& region) const
+{
+    const auto found = by_region_.find(region);
+    return found == by_region_.end() ? 0 : found->second.refused_share;
+}
+
+void service_state::observe_run_time(const core::region_id& region, core::duration taken,
+                                     std::optional<bool> familiar)
+{
+    auto& here = in(region).run_time;
+    here +=
+        (std::clamp<core::duration>(taken, shortest_run, here * largest_multiple) - here) / sample_divisor;
     const auto sample = std::clamp<core::duration>(taken, shortest_run, run_time_ * largest_multiple);
     run_time_ += (sample - run_time_) / sample_divisor;
     if (!familiar)
--- a/source/steering/service_state.h
+++ b/source/steering/service_state.h
@@ -4,6 +4,7 @@
 #include "steering/arrival_rate.h"
 
 #include <algorithm>
+#include <map>
 #include <optional>
 
 namespace knapweed::steering {
@@ -23,8 +24,15 @@
     [[nodiscard]] const arrival_rate& demand() const noexcept { return demand_; }
     [[nodiscard]] state::region_shift_limiter& regions() noexcept { return regions_; }
 
-    /** @returns the mean time of a request at a server with a free slot. */
+    /** @returns the mean time of a request at a server with a free slot, over all regions. */
     [[nodiscard]] core::duration run_time() const noexcept { return run_time_; }
+    /** @returns the same in one region: where few servers share many objects, fetching takes more of the
+     * time. */
+    [[nodiscard]] core::duration run_time_in(const core::region_id& region) const;
+    /** A request that was planned for a region found room there, or none. */
+    void observe_room(const core::region_id& region, bool found);
+    /** @returns the recent part of the requests planned for a region that found no room there. */
+    [[nodiscard]] double refused_share(const core::region_id& region) const;
     /** @returns the expected time at a server that has the request's object at hand. */
     [[nodiscard]] core::duration familiar_run_time() const noexcept { return familiar_; }
     /** @returns the expected time at a server that must fetch the object first. */
@@ -34,13 +42,21 @@
     }
     /** @param taken time of a request that did not wait, without the round trip. @param familiar whether the
         server had the object at hand, as far as this instance knows; nothing without an object. */
-    void observe_run_time(core::duration taken, std::optional<bool> familiar);
+    void observe_run_time(const core::region_id& region, core::duration taken, std::optional<bool> familiar);
 
 private:
+    struct region_state {
+        core::duration run_time;
+        double refused_share = 0;
+    };
+
+    [[nodiscard]] region_state& in(const core::region_id& region);
+
     const core::clock& time_;
     core::time_point created_;
     arrival_rate demand_;
     state::region_shift_limiter regions_;
+    std::map<core::region_id, region_state> by_region_;
     /** Until the first answers. */
     core::duration run_time_ = core::milliseconds(200);
     core::duration familiar_ = core::milliseconds(100);
--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -22,6 +22,9 @@
 constexpr std::chrono::duration<double> assumed_demand_decay{3.0};
 /** Demand that is assumed of each region at first, as part of a fair share of the whole capacity. */
 constexpr double assumed_utilisation = 0.8;
+/** Part of a region's capacity that is taken off when all requests planned for it find no room: the estimate
+   was too high then. */
+constexpr double refusal_weight = 0.6;
 /** Part of its normal rate that a cold server is counted with. */
 constexpr double cold_capacity = 0.3;
 
@@ -149,6 +152,8 @@
     for (const auto& server : servers)
         (server->region() == plan.region ? planned : others).push_back(server);
     const auto first = choose_server(request, planned, plan.tried, distances_);
+    if (plan.tried.empty())
+        state_of(plan.service).observe_room(plan.region, std::holds_alternative<server_choice>(first));
     if (const auto* choice = std::get_if<server_choice>(&first))
         return send(plan, *choice);
     const auto elsewhere = choose_server(request, others, plan.tried, distances_);
@@ -217,7 +222,7 @@
         std::optional<bool> familiar;
         if (plan.object_hash != 0)
             familiar = note.familiar;
-        state_of(plan.service).observe_run_time(result.taken - round_trip, familiar);
+        state_of(plan.service).observe_run_time(server.region(), result.taken - round_trip, familiar);
         auto& size = answer_kilobytes_.try_emplace(plan.matched->name, result.answer_kilobytes).first->second;
         size += size_weight * (result.answer_kilobytes - size);
     }
@@ -328,10 +333,12 @@
     std::map<core::region_id, region_supply> supplies;
     for (const auto& [data_centre, region] : servers_.regions())
         supplies[region].region = region;
-    const double run_seconds = std::chrono::duration<double>(state.run_time()).count();
     double capacity = 0;
     for (const auto& server : servers_.usable(service)) {
-        const double part = server->cold().is_cold() ? cold_capacity : 1;
+        const auto& region = server->region();
+        const double run_seconds = std::chrono::duration<double>(state.run_time_in(region)).count();
+        const double part = (server->cold().is_cold() ? cold_capacity : 1) *
+                            (1 - refusal_weight * state.refused_share(region));
         const double rate = part * server->slots() / run_seconds;
         supplies[server->region()].capacity += rate;
         capacity += rate;
