Avoid servers that owe answers for long, and give up connections sooner

Up to 254 requests in two seconds waited for a connection until their callers left, since opening one was given three round trips and 200 ms; requests on open connections waited until their time-out. Change: two round trips and 60 ms; a server that owes answers for more than twice an unfamiliar run counts as slower, the longer it is silent.

--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -21,8 +21,8 @@
 /** Answers to other requests that are skipped on one connection before it is given up. */
 constexpr int most_foreign_answers = 2;
 /** Limit on opening a connection: round trips, and time for the server's side. */
-constexpr int connect_round_trips = 3;
-constexpr core::milliseconds connect_allowance{200};
+constexpr int connect_round_trips = 2;
+constexpr core::milliseconds connect_allowance{60};
 /** Connections of one instance to one server. Its share of a server's bound, which all instances have in
    common, with room for a fleet of about twenty. */
 constexpr std::size_t connections_per_server = 16;
--- a/source/steering/backend_server.cpp
+++ b/source/steering/backend_server.cpp
@@ -12,9 +12,9 @@
 } // namespace
 
 backend_server::backend_server(server_record record, core::region_id region, const core::clock& time)
-    : record_(std::move(record)), region_(std::move(region)), id_hash_(core::hash_text(record_.id.str())),
-      slots_(std::max(record_.slots, 1U)), load_(time), failures_(time), cold_(time), speed_(time),
-      objects_(remembered_requests)
+    : time_(time), record_(std::move(record)), region_(std::move(region)),
+      id_hash_(core::hash_text(record_.id.str())), slots_(std::max(record_.slots, 1U)), load_(time),
+      failures_(time), cold_(time), speed_(time), objects_(remembered_requests)
 {
     cold_.set_cold_left(record_.cold_left);
 }
@@ -30,6 +30,24 @@
     record_ = std::move(record);
 }
 
+void backend_server::note_send()
+{
+    if (load_.own() == 0)
+        owes_since_ = time_.now();
+    load_.request_started();
+    cold_.request_started();
+}
+
+void backend_server::note_answer()
+{
+    owes_since_ = time_.now();
+}
+
+core::duration backend_server::silence() const
+{
+    return load_.own() == 0 ? core::duration::zero() : time_.now() - owes_since_;
+}
+
 void backend_server::observe(const load_report& report)
 {
     load_.observe(report);
--- a/source/steering/backend_server.h
+++ b/source/steering/backend_server.h
@@ -45,6 +45,12 @@
     [[nodiscard]] speed_estimate& speed() noexcept { return speed_; }
     [[nodiscard]] const speed_estimate& speed() const noexcept { return speed_; }
 
+    /** A request was sent to it, or it answered. */
+    void note_send();
+    void note_answer();
+    /** @returns for how long it has owed answers without giving any; 0 while it owes none. */
+    [[nodiscard]] core::duration silence() const;
+
     [[nodiscard]] object_memory& objects() noexcept { return objects_; }
     [[nodiscard]] const object_memory& objects() const noexcept { return objects_; }
 
@@ -53,6 +59,7 @@
     [[nodiscard]] bool is_replaced() const noexcept { return replaced_; }
 
 private:
+    const core::clock& time_;
     server_record record_;
     core::region_id region_;
     std::uint64_t id_hash_;
@@ -62,6 +69,7 @@
     failure_record failures_;
     cold_start_limit cold_;
     speed_estimate speed_;
+    core::time_point owes_since_{}; ///< last answer, or first request after a pause
     object_memory objects_;
 };
 
--- a/source/steering/server_choice.cpp
+++ b/source/steering/server_choice.cpp
@@ -13,6 +13,8 @@
 constexpr double fetch_share = 1.0;
 /** Part of the run time by which an answer may miss its target for want of a free slot. */
 constexpr double late_allowance = 0.35;
+/** A server that owes answers for more than this multiple of an unfamiliar run is probably stuck or gone. */
+constexpr int usual_silence = 2;
 /** A cold server takes about twice the time. */
 constexpr double cold_factor = 2;
 /** Extra cost of a failure: the time until the caller has tried again elsewhere. */
@@ -71,6 +73,15 @@
     return home;
 }
 
+/** @returns the factor by which a server counts as slower because it owes answers for long. */
+double silence_factor(const choice_request& request, const backend_server& server)
+{
+    const auto usual = request.unfamiliar_run_time * usual_silence;
+    const auto silence = server.silence();
+    return silence <= usual ? 1
+                            : std::chrono::duration<double>(silence) / std::chrono::duration<double>(usual);
+}
+
 scored score(const choice_request& request, const server_pointer& server, bool is_home,
              const distance_table& distances)
 {
@@ -82,7 +93,8 @@
         run = familiar ? request.familiar_run_time : request.unfamiliar_run_time;
     const double slots = server->slots();
     const double ahead = std::max(0.0, server->load().total() + 1 - slots);
-    const double slowness = server->speed().slowness() * (server->cold().is_cold() ? cold_factor : 1.0);
+    const double slowness = std::max(server->speed().slowness(), silence_factor(request, *server)) *
+                            (server->cold().is_cold() ? cold_factor : 1.0);
     scored result;
     result.server = &server;
     result.wait = milliseconds_d(request.run_time) * slowness * ahead / slots;
--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -182,8 +182,7 @@
         plan.attempts.back().familiar = server.objects().knows(plan.object_hash);
         server.objects().remember(plan.object_hash);
     }
-    server.load().request_started();
-    server.cold().request_started();
+    server.note_send();
     return send_step{choice.server, plan.answer_by,
                      plan.matched->idempotent ? longest_idle_idempotent : longest_idle_once};
 }
@@ -205,6 +204,8 @@
 void steerer::learn(request_plan& plan, backend_server& server, const attempt_result& result)
 {
     server.load().request_ended();
+    if (result.outcome != attempt_outcome::timed_out && result.outcome != attempt_outcome::not_connected)
+        server.note_answer();
     if (result.load)
         server.observe(*result.load);
     if (result.cold_left)
