--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -18,8 +18,8 @@
 constexpr core::milliseconds tick_interval{100};
 constexpr std::uint64_t ticks_per_status = 5; ///< a status message every 500 ms
 /** Several times in the run time of a short request, so that two instances seldom take the same free slot. */
-constexpr core::milliseconds load_interval{50};
-constexpr std::uint64_t load_rounds_per_far_message = 3;
+constexpr core::milliseconds load_interval{30};
+constexpr std::uint64_t load_rounds_per_far_message = 4;
 constexpr std::uint64_t ticks_per_second = 10;
 /** Descriptors are limited to a few thousand; the rest is for servers, files and the platform. */
 constexpr std::size_t most_caller_sessions = 2500;
