Bound connections to a server by its configuration; format; drop an unused setting

Cause: the number of connections that a server accepts was read from the configuration and not used; the drain time was a setting that nothing read. Change: each instance opens an equal share, at most 16. The setting is gone.

--- a/source/daemons/knapweed_gateway.cpp
+++ b/source/daemons/knapweed_gateway.cpp
@@ -44,7 +44,8 @@
     platform::store_watcher watcher(instance);
     watcher.start();
     instance.run();
-    // Joining the logging library's pool of threads can outlast the grace period; the operating system frees all.
+    // Joining the logging library's pool of threads can outlast the grace period; the operating system frees
+    // all.
     std::quick_exit(exit_ok);
 }
 
--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -23,12 +23,10 @@
 /** Limit on opening a connection: round trips, and time for the server's side. */
 constexpr int connect_round_trips = 2;
 constexpr core::milliseconds connect_allowance{60};
-/** Connections of one instance to one server. Its share of a server's bound, which all instances have in
-   common, with room for a fleet of about twenty. */
-constexpr std::size_t connections_per_server = 16;
 /** A connection is not reused in the last part of the time for which its server keeps it. */
 constexpr double used_idle_share = 0.75;
 constexpr core::milliseconds idle_time_unstated{4000};
+constexpr unsigned bad_request = 400;
 constexpr double bytes_per_kilobyte = 1024;
 
 std::optional<std::uint64_t> parse_number(std::string_view text)
@@ -112,8 +110,8 @@
 {
     const auto self = shared_from_this();
     if (request_id_.empty()) {
-        log_end("rejected", 400, "no request id", {});
-        const auto head = make_own_head(400, "no_request_id");
+        log_end("rejected", bad_request, "no request id", {});
+        const auto head = make_own_head(bad_request, "no_request_id");
         co_await exchange_->answer(head, {});
         co_return;
     }
@@ -175,7 +173,7 @@
     answer_ = {};
     connection_spoiled_ = false;
     connection_ =
-        context_.connections.acquire(server.record().address, connections_per_server, step.longest_idle);
+        context_.connections.acquire(server.record().address, step.most_connections, step.longest_idle);
     if (!connection_)
         co_return result;
     if (!connection_->connected()) {
--- a/source/gateway/gateway_settings.cpp
+++ b/source/gateway/gateway_settings.cpp
@@ -101,7 +101,6 @@
     settings.store_address = read.address("platform.store");
     settings.grace = read.time("timing.grace_ms", settings.grace, 1000, 600000);
     settings.lookup_ttl = read.time("timing.lookup_ttl_ms", settings.lookup_ttl, 100, 600000);
-    settings.drain_time = read.time("timing.drain_ms", settings.drain_time, 100, 600000);
     settings.largest_shift = read.number("steering.largest_shift", settings.largest_shift, 0.001, 1);
     settings.log_lines_per_second =
         static_cast<unsigned>(read.number("log.lines_per_second", settings.log_lines_per_second, 1, 100000));
--- a/source/gateway/gateway_settings.h
+++ b/source/gateway/gateway_settings.h
@@ -21,7 +21,6 @@
     std::string store_address;           ///< ip:port of the platform's store
     core::milliseconds grace{6000};      ///< from the stop signal to the end of the process
     core::milliseconds lookup_ttl{4000}; ///< for which callers may keep an answer to a look-up
-    core::milliseconds drain_time{2500}; ///< in which a leaving server must stop getting requests
     double largest_shift = 0.15;         ///< share of a region's requests that may move in two seconds
     unsigned log_lines_per_second = 400; ///< further lines are dropped and counted
     std::map<core::data_centre_id, core::region_id> data_centres;
--- a/source/net/http_client.cpp
+++ b/source/net/http_client.cpp
@@ -12,8 +12,9 @@
 
 } // namespace
 
-http_client::http_client(const asio::any_io_executor& executor, core::duration idle_limit, counter_sink& reports,
-                         const core::clock& time, std::optional<core::duration> connect_limit)
+http_client::http_client(const asio::any_io_executor& executor, core::duration idle_limit,
+                         counter_sink& reports, const core::clock& time,
+                         std::optional<core::duration> connect_limit)
     : executor_(executor), connections_(executor, idle_limit, reports, time), connect_limit_(connect_limit)
 {}
 
--- a/source/steering/peer_loads.h
+++ b/source/steering/peer_loads.h
@@ -28,8 +28,8 @@
     /** Takes a message; an older one than known is ignored. */
     void heard(const instance_load& load);
 
-    /** Tells each server's estimate the current sum, and forgets instances that fell silent. To be called about
-        every 100 ms; `heard` tells the servers that a message changes at once. */
+    /** Tells each server's estimate the current sum, and forgets instances that fell silent. To be called
+       about every 100 ms; `heard` tells the servers that a message changes at once. */
     void tick();
 
 private:
--- a/source/steering/request_plan.h
+++ b/source/steering/request_plan.h
@@ -66,7 +66,8 @@
 struct send_step {
     server_pointer server;
     core::time_point answer_by;
-    core::duration longest_idle{}; ///< a connection that was idle for longer must not carry the request
+    std::size_t most_connections = 1; ///< of this instance to the server
+    core::duration longest_idle{};    ///< a connection that was idle for longer must not carry the request
 };
 /** Pass the server's answer on. */
 struct deliver_step {};
--- a/source/steering/server_catalogue.h
+++ b/source/steering/server_catalogue.h
@@ -19,7 +19,6 @@
     return static_cast<std::uint32_t>(server.id_hash());
 }
 
-
 /** The backend servers that registered themselves in the platform's store, and evacuated data centres.
 
     Fed with the changes of the store in their order. Entries lapse while the store is away although their
--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -37,6 +37,9 @@
 constexpr core::milliseconds longest_idle_once{2000};
 constexpr core::milliseconds longest_idle_idempotent{60000};
 
+/** A server has a few slots and a short queue; more connections would only wait. */
+constexpr std::size_t most_connections_to_a_server = 16;
+
 constexpr core::milliseconds least_retry_after{60};
 constexpr core::milliseconds longest_retry_after{1000};
 constexpr core::milliseconds retry_after_without_servers{300};
@@ -183,10 +186,20 @@
         server.objects().remember(plan.object_hash);
     }
     server.note_send();
-    return send_step{choice.server, plan.answer_by,
+    return send_step{choice.server, plan.answer_by, most_connections(plan),
                      plan.matched->idempotent ? longest_idle_idempotent : longest_idle_once};
 }
 
+/** An equal share of what the server accepts from all instances together. */
+std::size_t steerer::most_connections(const request_plan& plan) const
+{
+    const auto found = plan.policy->services.find(plan.service);
+    if (found == plan.policy->services.end() || found->second.max_connections == 0)
+        return most_connections_to_a_server;
+    const std::size_t share = found->second.max_connections / (peers_.known() + 1);
+    return std::clamp<std::size_t>(share, 1, most_connections_to_a_server);
+}
+
 next_step steerer::give_up(const request_plan& plan, core::refusal_reason refusal,
                            core::duration shortest_wait)
 {
--- a/tests/steering/steerer_test.cpp
+++ b/tests/steering/steerer_test.cpp
@@ -159,6 +159,24 @@
     REQUIRE(std::get<send_step>(step).answer_by == fixture.time.now() + milliseconds(700));
 }
 
+// Guards against more connections to a server than it accepts from all instances together.
+TEST_CASE("each instance opens an equal share of the connections that a server accepts")
+{
+    test::steerer_fixture fixture;
+    auto policy = test::sample_policy();
+    policy.services[test::orders].max_connections = 30;
+    REQUIRE(fixture.decisions.apply(policy));
+    for (int i = 2; i <= 10; ++i) {
+        instance_status status;
+        status.instance = core::instance_id{"i" + std::to_string(i)};
+        status.incarnation = {1};
+        fixture.decisions.peers().registered(status);
+    }
+    request_plan plan;
+    const auto step = fixture.begin(plan);
+    REQUIRE(std::get<send_step>(step).most_connections == 3);
+}
+
 // Guards against trusting what was known before the process stood still.
 TEST_CASE("after a standstill every server counts as cold for a while")
 {
