Read all pipelined answers before judging them in the test

Cause: beside busy processes gateway_tests hung: the stack showed all three servers served and the client waiting. The test client's read returns all bytes that arrived together, so when two answers came in one read the next read waited for ever. Change: the last request closes the connection; the test reads to its end and then checks the order of all three answers. As strict as before.

--- a/tests/gateway/forwarding_test.cpp
+++ b/tests/gateway/forwarding_test.cpp
@@ -188,9 +188,14 @@
 {
     forwarding_fixture fixture({answer_well, answer_well});
     test_client client(fixture.port());
-    client.send(make_request("1") + make_request("2") + make_request("3"));
-    for (const auto* id : {"1", "2", "3"})
-        REQUIRE(contains(client.read_answer(), std::string("X-Id: ") + id + "\r\n"));
+    client.send(make_request("1") + make_request("2") + make_request("3", "GET", "Connection: close\r\n"));
+    // The answers may arrive together, so all of them are read before they are judged.
+    const auto answers = client.read_to_end();
+    std::size_t at = 0;
+    for (const auto* id : {"1", "2", "3"}) {
+        at = answers.find(std::string("X-Id: ") + id + "\r\n", at);
+        REQUIRE(at != std::string::npos);
+    }
 }
 
 // Guards against requests that are smuggled inside others, and against readers that trust a doubtful length.
