--- a/source/gateway/caller_exchange.cpp
+++ b/source/gateway/caller_exchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/caller_exchange.h"
 
 #include "gateway/caller_session.h"
+#include "gateway/field_names.h"
 
 #include <algorithm>
 #include <array>
@@ -11,13 +12,6 @@
 
 namespace {
 
-bool equal_without_case(std::string_view a, std::string_view b)
-{
-    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char left, unsigned char right) {
-        return std::tolower(left) == std::tolower(right);
-    });
-}
-
 std::string_view trim(std::string_view text)
 {
     const auto begin = text.find_first_not_of(" \t");
@@ -64,7 +58,7 @@
 std::string_view caller_request::field(std::string_view name) const
 {
     for (const auto& each : fields) {
-        if (equal_without_case(each.name, name))
+        if (is_same_field(each.name, name))
             return each.value;
     }
     return {};
@@ -73,7 +67,7 @@
 std::string_view caller_request::cookie(std::string_view name) const
 {
     for (const auto& each : fields) {
-        if (!equal_without_case(each.name, "cookie"))
+        if (!is_same_field(each.name, "cookie"))
             continue;
         if (const auto value = find_pair(each.value, name, ';'); !value.empty())
             return value;
--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -1,5 +1,6 @@
 #include "gateway/forwarded_request.h"
 
+#include "gateway/field_names.h"
 #include "net/time_limit.h"
 
 #include <algorithm>
@@ -71,13 +72,6 @@
     return text.data();
 }
 
-bool equal_names(std::string_view a, std::string_view b)
-{
-    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char left, unsigned char right) {
-        return std::tolower(left) == std::tolower(right);
-    });
-}
-
 } // namespace
 
 forwarded_request::forwarded_request(forwarder_context& context, std::shared_ptr<caller_exchange> exchange)
@@ -286,8 +280,8 @@
     head += request.target;
     head += " HTTP/1.1\r\n";
     for (const auto& field : request.fields) {
-        const bool own = equal_names(field.name, words.time_limit_field) ||
-                         equal_names(field.name, words.expected_server_field);
+        const bool own = is_same_field(field.name, words.time_limit_field) ||
+                         is_same_field(field.name, words.expected_server_field);
         if (!own && !is_hop_by_hop(field.name, nominated))
             append_field(head, field.name, field.value);
     }
