Read the store once in each region

Change: one instance of each region, chosen by hash among the live ones, follows the tables and tells each change to its region by datagram. Statuses carry the newest change that an instance knows, so one that missed a change reads the table once. Without a reachable reader every instance follows by itself. Weighed and left: longer waits for all, with statuses that wake a stale instance; each change would still cost a call of every instance.

--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -218,6 +218,7 @@
     status.ready = ready();
     status.leaving = leaving_;
     status.demand = decisions_.demand();
+    status.store = decisions_.store().view();
     return status;
 }
 
@@ -234,6 +235,17 @@
         decisions_.peers().heard(*status);
     else if (const auto* load = std::get_if<steering::instance_load>(&message))
         decisions_.loads_of_peers().heard(*load);
+    else if (const auto* change = std::get_if<steering::table_change>(&message); change && on_table_change_)
+        on_table_change_(*change);
+}
+
+void gateway::tell(const steering::table_change& change)
+{
+    const auto datagram = encode_datagram(change);
+    const auto addresses = decisions_.peers().peer_addresses_in(settings_.region);
+    if (datagram.size() <= peer_link::largest_datagram && !addresses.empty())
+        peers_.send(datagram, addresses);
+    send_status();
 }
 
 asio::awaitable<void> gateway::keep_telling_load()
@@ -283,6 +295,8 @@
         log_.warn(json_line("stood_still").add_ms("for_ms", gap));
     for (auto* door : {&callers_, &readiness_, &lookups_, &metrics_door_})
         door->tick();
+    if (on_tick_)
+        on_tick_();
     if (ticks_ % ticks_per_status == 0)
         send_status();
     if (ticks_ % ticks_per_second == 0) {
@@ -321,6 +335,7 @@
         return;
     log_.info(json_line("leaving").add("requests_in_progress", forwarder_.in_progress));
     callers_.leave();
+    decisions_.store().leave();
     send_status();
     if (on_leaving_)
         on_leaving_();
--- a/source/gateway/gateway.h
+++ b/source/gateway/gateway.h
@@ -36,6 +36,18 @@
     /** Called once when a graceful shutdown begins. */
     void on_leaving(std::function<void()> hook) { on_leaving_ = std::move(hook); }
 
+    /** Called with each change of the store that the reader of the region tells. */
+    void on_table_change(std::function<void(const steering::table_change&)> hook)
+    {
+        on_table_change_ = std::move(hook);
+    }
+    /** Called about every 100 ms. */
+    void on_tick(std::function<void()> hook) { on_tick_ = std::move(hook); }
+
+    /** Tells the instances of the region a change of the store, and all instances that there is one. A change
+        that does not fit into a datagram is left out: the others read it from the store. */
+    void tell(const steering::table_change& change);
+
     /** @returns what this instance tells the others. */
     [[nodiscard]] steering::instance_status status();
 
@@ -81,6 +93,8 @@
     caller_door metrics_door_;
     peer_link peers_;
     std::function<void()> on_leaving_;
+    std::function<void(const steering::table_change&)> on_table_change_;
+    std::function<void()> on_tick_;
     core::incarnation incarnation_;
     std::uint64_t sequence_ = 0;
     std::vector<steering::instance_load::entry> told_load_; ///< as it was sent last
--- a/source/gateway/peer_link.h
+++ b/source/gateway/peer_link.h
@@ -13,6 +13,9 @@
    the next; nothing waits for an answer. */
 class peer_link {
 public:
+    /** Longer datagrams are cut off by the receiver. */
+    static constexpr std::size_t largest_datagram = 8192;
+
     using receiver = std::function<void(const peer_message&)>;
 
     peer_link(const net::asio::any_io_executor& executor, receiver received);
@@ -26,7 +29,7 @@
     net::asio::any_io_executor executor_;
     receiver received_;
     net::asio::ip::udp::socket socket_;
-    std::array<char, 8192> buffer_{};
+    std::array<char, largest_datagram> buffer_{};
 };
 
 } // namespace knapweed::gateway
--- a/source/gateway/status_codec.cpp
+++ b/source/gateway/status_codec.cpp
@@ -25,6 +25,11 @@
         demand->set_service(service.str());
         demand->set_requests_per_second(rate);
     }
+    auto* store = message.mutable_store();
+    store->set_reads(status.store.reads);
+    store->set_reachable(status.store.reachable);
+    for (const auto version : status.store.newest_change)
+        store->add_newest_change(version);
 }
 
 steering::instance_status read(const wire::instance_status& message)
@@ -43,6 +48,12 @@
         if (std::isfinite(rate) && rate >= 0)
             status.demand[core::service_id{demand.service()}] = rate;
     }
+    status.store.reads = message.store().reads();
+    status.store.reachable = message.store().reachable();
+    const auto tables =
+        std::min<std::size_t>(message.store().newest_change_size(), status.store.newest_change.size());
+    for (std::size_t i = 0; i < tables; ++i)
+        status.store.newest_change.at(i) = message.store().newest_change(static_cast<int>(i));
     return status;
 }
 
@@ -58,6 +69,20 @@
     return load;
 }
 
+peer_message read(const wire::table_change& message)
+{
+    if (message.table() >= steering::number_of_replicated_tables)
+        return {};
+    steering::table_change change;
+    change.table = static_cast<steering::replicated_table>(message.table());
+    change.follows = message.follows();
+    change.newest = message.newest();
+    change.version = message.version();
+    for (const auto& row : message.rows())
+        change.rows.push_back({row.key(), row.value(), row.version(), row.removed()});
+    return change;
+}
+
 } // namespace
 
 std::string encode_status(const steering::instance_status& status)
@@ -96,6 +121,24 @@
     return datagram.SerializeAsString();
 }
 
+std::string encode_datagram(const steering::table_change& change)
+{
+    wire::peer_datagram datagram;
+    auto* message = datagram.mutable_change();
+    message->set_table(static_cast<std::uint32_t>(change.table));
+    message->set_follows(change.follows);
+    message->set_newest(change.newest);
+    message->set_version(change.version);
+    for (const auto& row : change.rows) {
+        auto* written = message->add_rows();
+        written->set_key(row.key);
+        written->set_value(row.value);
+        written->set_version(row.version);
+        written->set_removed(row.removed);
+    }
+    return datagram.SerializeAsString();
+}
+
 peer_message decode_datagram(std::string_view datagram)
 {
     wire::peer_datagram parsed;
@@ -105,6 +148,8 @@
         return read(parsed.status());
     if (parsed.has_load() && !parsed.load().instance().empty())
         return read(parsed.load());
+    if (parsed.has_change())
+        return read(parsed.change());
     return {};
 }
 
--- a/source/gateway/status_codec.h
+++ b/source/gateway/status_codec.h
@@ -2,6 +2,7 @@
 
 #include "steering/peer_loads.h"
 #include "steering/peer_table.h"
+#include "steering/table_change.h"
 
 #include <optional>
 #include <string>
@@ -17,10 +18,12 @@
 [[nodiscard]] std::optional<steering::instance_status> decode_status(std::string_view message);
 
 /** What one datagram from another instance tells. */
-using peer_message = std::variant<std::monostate, steering::instance_status, steering::instance_load>;
+using peer_message =
+    std::variant<std::monostate, steering::instance_status, steering::instance_load, steering::table_change>;
 
 [[nodiscard]] std::string encode_datagram(const steering::instance_status& status);
 [[nodiscard]] std::string encode_datagram(const steering::instance_load& load);
+[[nodiscard]] std::string encode_datagram(const steering::table_change& change);
 
 /** @returns the message of a datagram, `std::monostate` when it is malformed. */
 [[nodiscard]] peer_message decode_datagram(std::string_view datagram);
--- a/source/steering/peer_table.cpp
+++ b/source/steering/peer_table.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-/** Status messages come every 500 ms; four may be lost before an instance counts as gone. */
-constexpr core::milliseconds live_for{2200};
 /** Demand of a silent instance counts for longer: its callers soon ask another one. */
 constexpr core::milliseconds demand_valid_for{5000};
 /** An instance that was silent for this time gets no more messages. */
@@ -44,9 +42,9 @@
     peers_.erase(instance);
 }
 
-bool peer_table::is_live(const peer& each) const
+bool peer_table::is_live(const peer& each, core::duration heard_within) const
 {
-    return each.heard_at && time_.now() - *each.heard_at < live_for;
+    return each.heard_at && time_.now() - *each.heard_at < heard_within;
 }
 
 std::vector<std::string> peer_table::caller_addresses(const core::data_centre_id& data_centre) const
@@ -80,10 +78,13 @@
     return addresses;
 }
 
-std::size_t peer_table::live() const
+void peer_table::visit_live(core::duration heard_within,
+                            const std::function<void(const instance_status&)>& visitor) const
 {
-    return static_cast<std::size_t>(std::count_if(
-        peers_.begin(), peers_.end(), [this](const auto& entry) { return is_live(entry.second); }));
+    for (const auto& [instance, each] : peers_) {
+        if (is_live(each, heard_within))
+            visitor(each.status);
+    }
 }
 
 double peer_table::demand(const core::service_id& service, const core::region_id& region) const
--- a/source/steering/peer_table.h
+++ b/source/steering/peer_table.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "steering/distance_table.h"
+#include "steering/table_change.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -20,12 +22,16 @@
     bool ready = false;                        ///< serves callers
     bool leaving = false;                      ///< a graceful shutdown has begun
     std::map<core::service_id, double> demand; ///< requests per second that arrive there
+    store_view store;
 };
 
 /** The other instances, from their status messages. Nothing is agreed: each instance judges by what it heard.
  */
 class peer_table {
 public:
+    /** Status messages come every 500 ms; four may be lost before an instance counts as gone. */
+    static constexpr core::milliseconds live_for{2200};
+
     /** @param time must outlive this object. */
     peer_table(core::instance_id own, const core::clock& time) : own_(std::move(own)), time_(time) {}
 
@@ -41,8 +47,9 @@
     [[nodiscard]] std::vector<std::string> peer_addresses() const;
     /** @returns those of the instances of one region. */
     [[nodiscard]] std::vector<std::string> peer_addresses_in(const core::region_id& region) const;
-    /** @returns the number of instances that were heard lately, without the own one. */
-    [[nodiscard]] std::size_t live() const;
+    /** Calls @p visitor with the latest status of each instance that was heard within a time. */
+    void visit_live(core::duration heard_within,
+                    const std::function<void(const instance_status&)>& visitor) const;
     /** @returns the number of known instances, live or not, without the own one. */
     [[nodiscard]] std::size_t known() const noexcept { return peers_.size(); }
     /** @returns requests per second for a service that arrive at the other instances of a region. */
@@ -58,7 +65,7 @@
         std::optional<core::time_point> heard_at;
     };
 
-    [[nodiscard]] bool is_live(const peer& each) const;
+    [[nodiscard]] bool is_live(const peer& each, core::duration heard_within = live_for) const;
 
     core::instance_id own_;
     const core::clock& time_;
--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -62,7 +62,8 @@
 
 steerer::steerer(steerer_options options, const core::clock& time)
     : options_(std::move(options)), time_(time), random_(options_.seed), servers_(time),
-      peers_(options_.instance, time), peer_loads_(servers_, time), distances_(options_.at),
+      peers_(options_.instance, time), peer_loads_(servers_, time),
+      store_(options_.instance, options_.at.region, peers_, time), distances_(options_.at),
       retries_(retry_options, time), last_tick_(time.now())
 {}
 
@@ -324,8 +325,10 @@
     const bool stood_still = gap > standstill;
     if (stood_still)
         servers_.assume_all_cold(distrust_after_standstill);
-    servers_.tick();
     peers_.tick();
+    store_.tick();
+    servers_.set_store_reachable(store_.store_reachable());
+    servers_.tick();
     peer_loads_.tick();
     const bool plan_again = now - last_plan_ >= plan_interval;
     if (plan_again)
--- a/source/steering/steerer.h
+++ b/source/steering/steerer.h
@@ -8,6 +8,7 @@
 #include "steering/server_catalogue.h"
 #include "steering/service_state.h"
 #include "steering/share_selector.h"
+#include "steering/store_duty.h"
 
 #include <functional>
 
@@ -45,6 +46,7 @@
     [[nodiscard]] server_catalogue& servers() noexcept { return servers_; }
     [[nodiscard]] peer_table& peers() noexcept { return peers_; }
     [[nodiscard]] peer_loads& loads_of_peers() noexcept { return peer_loads_; }
+    [[nodiscard]] store_duty& store() noexcept { return store_; }
     /** @returns the requests of this instance that are at backend servers, in the order of their hashes. */
     [[nodiscard]] std::vector<instance_load::entry> load() const;
     [[nodiscard]] distance_table& distances() noexcept { return distances_; }
@@ -89,6 +91,7 @@
     server_catalogue servers_;
     peer_table peers_;
     peer_loads peer_loads_;
+    store_duty store_;
     distance_table distances_;
     decision::retry_budget retries_;
     std::unordered_map<core::service_id, service_state> services_;
--- a/tests/gateway/parts_test.cpp
+++ b/tests/gateway/parts_test.cpp
@@ -79,15 +79,33 @@
     status.sequence = 6;
     status.ready = true;
     status.demand[core::service_id{"orders"}] = 12.5;
+    status.store = {true, true, {7, 9}};
     const auto read_status = std::get<steering::instance_status>(decode_datagram(encode_datagram(status)));
     REQUIRE(read_status.instance == status.instance);
     REQUIRE(read_status.demand == status.demand);
     REQUIRE(read_status.ready);
+    REQUIRE(read_status.store.reads);
+    REQUIRE(read_status.store.newest_change == status.store.newest_change);
     REQUIRE(decode_status(encode_status(status))->sequence == 6);
 
     const steering::instance_load load{core::instance_id{"i1"}, {5}, 7, {{123, 2}, {456, 1}}};
     const auto read_load = std::get<steering::instance_load>(decode_datagram(encode_datagram(load)));
     REQUIRE(read_load.servers == load.servers);
+
+    steering::table_change change;
+    change.table = steering::replicated_table::servers;
+    change.follows = 4;
+    change.newest = 8;
+    change.version = 9;
+    change.rows = {{"gone", "", 7, true}, {"new", "value", 8, false}};
+    const auto read_change = std::get<steering::table_change>(decode_datagram(encode_datagram(change)));
+    REQUIRE(read_change.table == change.table);
+    REQUIRE(read_change.follows == 4);
+    REQUIRE(read_change.newest == 8);
+    REQUIRE(read_change.version == 9);
+    REQUIRE(read_change.rows.size() == 2);
+    REQUIRE(read_change.rows.front().removed);
+    REQUIRE(read_change.rows.back().value == "value");
     REQUIRE(std::holds_alternative<std::monostate>(decode_datagram("nonsense")));
     REQUIRE(std::holds_alternative<std::monostate>(decode_datagram("")));
     REQUIRE_FALSE(decode_status("nonsense"));
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -192,6 +192,39 @@
     }
 }
 
+// Guards against an instance that neither follows the store nor notices that it was not told a change.
+TEST_CASE("an instance whose region has another reader reads a change that it was not told")
+{
+    watching_fixture fixture;
+    REQUIRE(fixture.wait_for_usable(7));
+    steering::instance_status reader;
+    reader.at = {core::data_centre_id{"kl-b"}, core::region_id{"east"}};
+    reader.incarnation = {1};
+    reader.store.reads = true;
+    reader.store.reachable = true;
+    const auto hear_reader = [&reader](steering::steerer& decisions) {
+        // Readers are chosen by a hash of their names: one of these goes before the instance under test.
+        for (const auto* name : {"a", "b", "c", "d", "e", "f", "g", "h"}) {
+            reader.instance = core::instance_id{name};
+            ++reader.sequence;
+            decisions.peers().heard(reader);
+        }
+        return !decisions.store().follows_store();
+    };
+    REQUIRE(fixture.wait_for(hear_reader));
+    const auto known = std::make_shared<std::uint64_t>(0);
+    REQUIRE(fixture.wait_for([&](auto& decisions) {
+        *known = decisions.store().version(steering::replicated_table::servers);
+        return hear_reader(decisions) && *known > 0;
+    }));
+    fixture.store.remove("servers", "i-2");
+    reader.store.newest_change = {0, *known + 100};
+    REQUIRE(fixture.wait_for([&](auto& decisions) {
+        hear_reader(decisions);
+        return decisions.servers().usable(core::service_id{"s1"}).size() == 6;
+    }));
+}
+
 // Guards against a restarted instance that forgets a refusal of the store to change the platform's own
 // tables.
 TEST_CASE("a write tells whether it was done, refused or lost")
