Learn run times from requests that waited while no slot is free

Cause: only answers that found a free slot taught the run time. On the grown deployments all queues filled within the first second, planned with the assumed 200 ms: run times of 624 and 816 ms were never learnt, requests waited 1.2 s and timed out (quote-approve: expected 516 ms, taken 1,422 ms). Change: after a second without a free slot, the times of requests that waited count, divided by the expected number of runs before them; the first samples move an estimate further. What an instance remembers of a server's objects is 50 requests divided by the instances of its region (16 at most) instead of always 16. The log says which object, whether its home server was chosen and the expected wait.

--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -436,6 +436,8 @@
             .add("planned_region", plan_.region.str())
             .add_ms("time_limit_ms", plan_.answer_by - plan_.received);
     }
+    if (plan_.object_hash != 0)
+        line.add("object", plan_.object_hash);
     if (plan_.policy)
         line.add("configuration", plan_.policy->version);
     line.add_ms("taken_ms", context_.time.now() - exchange_->request().received);
@@ -446,6 +448,8 @@
         if (each.report_age)
             attempt.add_ms("report_age_ms", *each.report_age);
         attempt.add("familiar", each.familiar)
+            .add("home", each.home)
+            .add_ms("expected_wait_ms", each.expected_wait)
             .add_ms("expected_ms", each.expected_time)
             .add("outcome", core::name_of(each.outcome))
             .add_ms("taken_ms", each.taken);
--- a/source/steering/backend_server.cpp
+++ b/source/steering/backend_server.cpp
@@ -4,17 +4,10 @@
 
 namespace knapweed::steering {
 
-namespace {
-
-/** A server has the objects of about its last 72 requests at hand, of which one instance sends a part. */
-constexpr std::size_t remembered_requests = 16;
-
-} // namespace
-
 backend_server::backend_server(server_record record, core::region_id region, const core::clock& time)
     : time_(time), record_(std::move(record)), region_(std::move(region)),
       id_hash_(core::hash_text(record_.id.str())), slots_(std::max(record_.slots, 1U)), load_(time),
-      failures_(time), cold_(time), speed_(time), objects_(remembered_requests)
+      failures_(time), cold_(time), speed_(time)
 {
     cold_.set_cold_left(record_.cold_left);
 }
--- a/source/steering/object_memory.cpp
+++ b/source/steering/object_memory.cpp
@@ -2,16 +2,16 @@
 
 namespace knapweed::steering {
 
-void object_memory::remember(std::uint64_t object)
+void object_memory::remember(std::uint64_t object, std::size_t requests)
 {
     recent_.push_back(object);
     ++counts_[object];
-    if (recent_.size() <= requests_)
-        return;
-    const auto oldest = counts_.find(recent_.front());
-    recent_.pop_front();
-    if (--oldest->second == 0)
-        counts_.erase(oldest);
+    while (recent_.size() > requests) {
+        const auto oldest = counts_.find(recent_.front());
+        recent_.pop_front();
+        if (--oldest->second == 0)
+            counts_.erase(oldest);
+    }
 }
 
 void object_memory::clear()
--- a/source/steering/object_memory.h
+++ b/source/steering/object_memory.h
@@ -11,15 +11,12 @@
    hand: it keeps the objects of its last few dozen requests, and several instances send to it. */
 class object_memory {
 public:
-    /** @param requests that are remembered. */
-    explicit object_memory(std::size_t requests) : requests_(requests) {}
-
-    void remember(std::uint64_t object);
+    /** @param requests that are remembered, this one among them. */
+    void remember(std::uint64_t object, std::size_t requests);
     [[nodiscard]] bool knows(std::uint64_t object) const { return counts_.contains(object); }
     void clear();
 
 private:
-    std::size_t requests_;
     std::deque<std::uint64_t> recent_;                   ///< latest last
     std::unordered_map<std::uint64_t, unsigned> counts_; ///< how often each occurs among them
 };
--- a/source/steering/peer_table.cpp
+++ b/source/steering/peer_table.cpp
@@ -87,6 +87,13 @@
     }
 }
 
+std::size_t peer_table::known_in(const core::region_id& region) const
+{
+    return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [&region](const auto& entry) {
+        return entry.second.status.at.region == region;
+    }));
+}
+
 double peer_table::demand(const core::service_id& service, const core::region_id& region) const
 {
     double sum = 0;
--- a/source/steering/peer_table.h
+++ b/source/steering/peer_table.h
@@ -52,6 +52,8 @@
                     const std::function<void(const instance_status&)>& visitor) const;
     /** @returns the number of known instances, live or not, without the own one. */
     [[nodiscard]] std::size_t known() const noexcept { return peers_.size(); }
+    /** @returns the number of known instances of a region, live or not, without the own one. */
+    [[nodiscard]] std::size_t known_in(const core::region_id& region) const;
     /** @returns requests per second for a service that arrive at the other instances of a region. */
     [[nodiscard]] double demand(const core::service_id& service, const core::region_id& region) const;
 
--- a/source/steering/request_plan.h
+++ b/source/steering/request_plan.h
@@ -33,6 +33,8 @@
     double occupancy = 0;                     ///< estimated when it was sent
     std::optional<core::duration> report_age; ///< of the load report behind the estimate
     bool familiar = false;                    ///< this instance had sent the object to the server before
+    bool home = false;                        ///< all instances send the object to this server first
+    core::duration expected_wait{};           ///< part of the expected time, in the server's queue
     core::duration expected_time{};
     attempt_outcome outcome = attempt_outcome::unfinished;
     core::duration taken{};
--- a/source/steering/server_choice.cpp
+++ b/source/steering/server_choice.cpp
@@ -9,8 +9,6 @@
 
 using milliseconds_d = std::chrono::duration<double, std::milli>;
 
-/** Part of the time for fetching an object that counts against a server. */
-constexpr double fetch_share = 1.0;
 /** Part of the run time by which an answer may miss its target for want of a free slot. */
 constexpr double late_allowance = 0.35;
 /** A server that owes answers for more than this multiple of an unfamiliar run is probably stuck or gone. */
@@ -101,8 +99,6 @@
     result.expected = milliseconds_d(distances.round_trip(at)) + result.wait + run * slowness;
     result.cost = result.expected + server->failures().failure_share() * failure_cost +
                   transfer_cost(request, distances.to(at));
-    if (has_object && !familiar)
-        result.cost -= (run - milliseconds_d(request.familiar_run_time)) * (1 - fetch_share);
     return result;
 }
 
@@ -155,7 +151,8 @@
     if (!best)
         return refused;
     return server_choice{*best->server, std::chrono::duration_cast<core::duration>(best->expected),
-                         std::chrono::duration_cast<core::duration>(best->wait)};
+                         std::chrono::duration_cast<core::duration>(best->wait),
+                         best->server->get() == home};
 }
 
 } // namespace knapweed::steering
--- a/source/steering/server_choice.h
+++ b/source/steering/server_choice.h
@@ -25,6 +25,7 @@
     server_pointer server;
     core::duration expected_time{}; ///< until the answer
     core::duration expected_wait{}; ///< part of it, in the server's queue
+    bool home = false;              ///< all instances send the object to this server first
 };
 
 /** Why no server was chosen. */
--- a/source/steering/service_state.h
+++ b/source/steering/service_state.h
@@ -45,21 +45,30 @@
     /** @param taken time of a request that did not wait, without the round trip. @param familiar whether the
         server had the object at hand, as far as this instance knows; nothing without an object. */
     void observe_run_time(const core::region_id& region, core::duration taken, std::optional<bool> familiar);
+    /** Takes the time of a request that waited for a slot. It counts only while no request finds a free one:
+        otherwise an estimate that is too low fills all queues, and nothing could correct it.
+        @param waited_runs expected wait before the run, as a multiple of the run time. */
+    void observe_waited(const core::region_id& region, core::duration taken, double waited_runs,
+                        std::optional<bool> familiar);
 
 private:
     struct region_state {
         core::duration run_time;
+        int samples = 0;
         double refused_share = 0;
     };
 
     [[nodiscard]] region_state& in(const core::region_id& region);
+    void learn(const core::region_id& region, core::duration taken, std::optional<bool> familiar);
     /** Estimates fade while no answers come at all. Otherwise one that is too long for a route's time limit
        would have every request refused, and nothing could correct it. */
     [[nodiscard]] core::duration faded(core::duration estimate) const;
 
     const core::clock& time_;
     core::time_point created_;
-    core::time_point answered_; ///< latest answer of the service
+    core::time_point answered_;          ///< latest answer of the service
+    core::time_point found_free_slot_{}; ///< when a request last was answered without waiting
+    int samples_ = 0;                    ///< run times that were learnt from, up to a few dozen
     arrival_rate demand_;
     state::region_shift_limiter regions_;
     std::map<core::region_id, region_state> by_region_;
--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -48,6 +48,10 @@
 /** Callers follow a Retry-After up to a third of the time that they have left. */
 constexpr int caller_patience_divisor = 3;
 
+/** Servers keep the objects of about their last 25 to 72 requests. */
+constexpr std::size_t kept_objects = 50;
+constexpr std::size_t most_remembered = 16;
+
 /** A failed connection is no arrival at a server; this only bounds the time lost with several. */
 constexpr std::size_t most_attempts = 4;
 /** Weight of an answer's size in the expected size of its route's answers. */
@@ -180,17 +184,26 @@
     note.occupancy = server.load().total();
     note.report_age = server.load().report_age();
     note.expected_time = choice.expected_time;
+    note.expected_wait = choice.expected_wait;
+    note.home = choice.home;
     plan.attempts.push_back(std::move(note));
     plan.tried.push_back(choice.server);
     if (plan.object_hash != 0) {
         plan.attempts.back().familiar = server.objects().knows(plan.object_hash);
-        server.objects().remember(plan.object_hash);
+        server.objects().remember(plan.object_hash, remembered_requests());
     }
     server.note_send();
     return send_step{choice.server, plan.answer_by, most_connections(plan),
                      plan.matched->idempotent ? longest_idle_idempotent : longest_idle_once};
 }
 
+/** The own part of the latest requests of which a server keeps the objects. */
+std::size_t steerer::remembered_requests() const
+{
+    const auto instances = peers_.known_in(options_.at.region) + 1;
+    return std::clamp<std::size_t>(kept_objects / instances, 1, most_remembered);
+}
+
 /** An equal share of what the server accepts from all instances together. */
 std::size_t steerer::most_connections(const request_plan& plan) const
 {
@@ -233,13 +246,19 @@
         server.speed().observe(result.taken, note.expected_time);
     if (result.outcome == attempt_outcome::answered)
         state_of(plan.service).confirm();
+    if (result.outcome != attempt_outcome::answered || server.cold().is_cold())
+        return;
     const bool waited = note.occupancy + 1 > server.slots() || (result.load && result.load->waiting > 0);
-    if (result.outcome == attempt_outcome::answered && !waited && !server.cold().is_cold()) {
-        const auto round_trip = distances_.round_trip({server.record().data_centre, server.region()});
-        std::optional<bool> familiar;
-        if (plan.object_hash != 0)
-            familiar = note.familiar;
-        state_of(plan.service).observe_run_time(server.region(), result.taken - round_trip, familiar);
+    const auto run = result.taken - distances_.round_trip({server.record().data_centre, server.region()});
+    std::optional<bool> familiar;
+    if (plan.object_hash != 0)
+        familiar = note.familiar;
+    if (waited) {
+        const double ahead = std::max(0.0, note.occupancy + 1 - server.slots());
+        state_of(plan.service).observe_waited(server.region(), run, ahead / server.slots(), familiar);
+    }
+    else {
+        state_of(plan.service).observe_run_time(server.region(), run, familiar);
         auto& size = answer_kilobytes_.try_emplace(plan.matched->name, result.answer_kilobytes).first->second;
         size += size_weight * (result.answer_kilobytes - size);
     }
--- a/source/steering/steerer.h
+++ b/source/steering/steerer.h
@@ -77,6 +77,7 @@
                                     core::duration shortest_wait);
     [[nodiscard]] choice_request make_choice_request(const request_plan& plan);
     [[nodiscard]] std::vector<server_pointer> allowed_servers(const request_plan& plan) const;
+    [[nodiscard]] std::size_t remembered_requests() const;
     [[nodiscard]] std::size_t most_connections(const request_plan& plan) const;
     void learn(request_plan& plan, backend_server& server, const attempt_result& result);
     void plan_regions_of(const core::service_id& service, service_state& state);
--- a/tests/steering/estimates_test.cpp
+++ b/tests/steering/estimates_test.cpp
@@ -137,13 +137,13 @@
 // Guards against remembering objects that the server has long dropped.
 TEST_CASE("only the objects of the latest requests are familiar")
 {
-    object_memory memory(3);
-    memory.remember(1);
-    memory.remember(1);
-    memory.remember(2);
-    memory.remember(3);
+    object_memory memory;
+    memory.remember(1, 3);
+    memory.remember(1, 3);
+    memory.remember(2, 3);
+    memory.remember(3, 3);
     REQUIRE(memory.knows(1));
-    memory.remember(3);
+    memory.remember(3, 3);
     REQUIRE_FALSE(memory.knows(1));
     REQUIRE(memory.knows(3));
     memory.clear();
