Bound what grows with the instances; keep slots from fetches that end late

Change: a fetch that would end late starts only where 0.6 of the server's other slots stay free. Loads go out at 320 messages a second at most. The burst of retries is a share of the common excess. Bounds come from the settings file.

--- a/source/decision/retry_budget.h
+++ b/source/decision/retry_budget.h
@@ -32,6 +32,9 @@
         @returns whether the retry is allowed. */
     [[nodiscard]] bool take(const core::caller_id& caller, const core::service_id& service);
 
+    /** Changes the number of tokens in a full bucket. */
+    void set_burst(unsigned tokens) { options_.burst = tokens; }
+
     /** @returns the number of stored buckets, of callers and services together. */
     [[nodiscard]] std::size_t size() const noexcept { return callers_.used.size() + services_.used.size(); }
 
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -17,9 +17,6 @@
 
 constexpr core::milliseconds tick_interval{100};
 constexpr std::uint64_t ticks_per_status = 5; ///< a status message every 500 ms
-/** Several times in the run time of a short request, so that two instances seldom take the same free slot. */
-constexpr core::milliseconds load_interval{30};
-constexpr std::uint64_t load_rounds_per_far_message = 4;
 constexpr std::uint64_t ticks_per_second = 10;
 /** Descriptors are limited to a few thousand; the rest is for servers, files and the platform. */
 constexpr std::size_t most_caller_sessions = 2500;
@@ -50,6 +47,10 @@
     options.instance = settings.instance;
     options.at = {settings.data_centre, settings.region};
     options.largest_shift = settings.largest_shift;
+    options.cold_multiplier = settings.cold_multiplier;
+    options.cold_slack = settings.cold_slack;
+    options.retry_ratio = settings.retry_ratio;
+    options.retry_extra = settings.retry_extra;
     options.seed = random_seed();
     return options;
 }
@@ -252,15 +253,16 @@
 {
     asio::steady_timer timer(io_);
     for (std::uint64_t round = 0;; ++round) {
-        timer.expires_after(load_interval);
+        const auto& peers = decisions_.peers();
+        const auto near = peers.known_in(settings_.region);
+        timer.expires_after(steering::load_interval(near, peers.known() - near));
         const auto [error] = co_await timer.async_wait(net::as_result);
         if (error)
             co_return;
-        tell_load(round % load_rounds_per_far_message == 0);
+        tell_load(round % steering::load_rounds_per_far_message == 0);
     }
 }
 
-/** Other regions hear of it less often: what they are told is older when it arrives. */
 void gateway::tell_load(bool all)
 {
     auto servers = decisions_.load();
--- a/source/gateway/gateway_settings.cpp
+++ b/source/gateway/gateway_settings.cpp
@@ -102,6 +102,10 @@
     settings.grace = read.time("timing.grace_ms", settings.grace, 1000, 600000);
     settings.lookup_ttl = read.time("timing.lookup_ttl_ms", settings.lookup_ttl, 100, 600000);
     settings.largest_shift = read.number("steering.largest_shift", settings.largest_shift, 0.001, 1);
+    settings.cold_multiplier = read.number("steering.cold_multiplier", settings.cold_multiplier, 0.1, 1000);
+    settings.cold_slack = read.number("steering.cold_slack", settings.cold_slack, 0, 100000);
+    settings.retry_ratio = read.number("steering.retry_ratio", settings.retry_ratio, 0, 10);
+    settings.retry_extra = read.number("steering.retry_extra", settings.retry_extra, 0, 1000000);
     settings.log_lines_per_second =
         static_cast<unsigned>(read.number("log.lines_per_second", settings.log_lines_per_second, 1, 100000));
     read_data_centres(tree, result);
--- a/source/gateway/gateway_settings.h
+++ b/source/gateway/gateway_settings.h
@@ -22,6 +22,10 @@
     core::milliseconds grace{6000};      ///< from the stop signal to the end of the process
     core::milliseconds lookup_ttl{4000}; ///< for which callers may keep an answer to a look-up
     double largest_shift = 0.15;         ///< share of a region's requests that may move in two seconds
+    double cold_multiplier = 1.5; ///< all instances may send a cold server its rate times this in a second,
+    double cold_slack = 5;        ///< and this many requests more
+    double retry_ratio = 0.2;     ///< share of a service's requests that all instances may repeat,
+    double retry_extra = 60;      ///< and this many more in a window
     unsigned log_lines_per_second = 400; ///< further lines are dropped and counted
     std::map<core::data_centre_id, core::region_id> data_centres;
 };
--- a/source/steering/peer_loads.cpp
+++ b/source/steering/peer_loads.cpp
@@ -8,9 +8,24 @@
 
 /** An instance that was silent for this time has ended, or its path is cut: its requests no longer count. */
 constexpr core::milliseconds forgotten_after{1000};
+/** Messages that an instance sends in a second. Each costs it and its receiver about 20 us of processor time;
+   ten instances stay below at the shortest interval. */
+constexpr double messages_per_second = 320;
+/** Several times in the run time of a short request, so that two instances seldom take the same free slot. */
+constexpr core::milliseconds shortest_interval{30};
+constexpr core::milliseconds longest_interval{200};
 
 } // namespace
 
+core::duration load_interval(std::size_t near, std::size_t far)
+{
+    const double messages =
+        static_cast<double>(near) + static_cast<double>(far) / load_rounds_per_far_message;
+    const std::chrono::duration<double> interval(messages / messages_per_second);
+    return std::clamp<core::duration>(std::chrono::duration_cast<core::duration>(interval), shortest_interval,
+                                      longest_interval);
+}
+
 void peer_loads::heard(const instance_load& load)
 {
     auto& known = peers_[load.instance];
--- a/source/steering/peer_loads.h
+++ b/source/steering/peer_loads.h
@@ -19,6 +19,16 @@
     std::vector<entry> servers; ///< those with requests
 };
 
+/** @param near other instances in the own region, which are told each time. @param far those in other
+   regions, which are told each fourth time.
+    @returns the time between two messages on the own load. It grows with the instances, so that each sends
+   and receives a bounded number of messages in a second. */
+[[nodiscard]] core::duration load_interval(std::size_t near, std::size_t far);
+
+/** Other regions hear of the load in each round of this number: what they are told is older when it arrives.
+ */
+inline constexpr std::uint64_t load_rounds_per_far_message = 4;
+
 /** Sums up what the other instances have at each backend server. */
 class peer_loads {
 public:
--- a/source/steering/server_choice.cpp
+++ b/source/steering/server_choice.cpp
@@ -11,6 +11,9 @@
 
 /** Part of the run time by which an answer may miss its target for want of a free slot. */
 constexpr double late_allowance = 0.35;
+/** Part of a server's other slots that a fetch must leave free when it ends late all the same. Measured with
+   one and two slots of three or four: two earn more on all sites. */
+constexpr double kept_from_late_fetches = 0.6;
 /** A server that owes answers for more than this multiple of an unfamiliar run is probably stuck or gone. */
 constexpr int usual_silence = 2;
 /** A cold server takes about twice the time. */
@@ -29,6 +32,8 @@
     milliseconds_d expected{};
     milliseconds_d wait{};
     milliseconds_d cost{}; ///< expected time and preferences
+    bool fetches = false;  ///< the server must fetch the request's object first
+    double free_share = 0; ///< of the server's other slots, while the request runs
 };
 
 std::uint64_t mix(std::uint64_t value)
@@ -95,6 +100,9 @@
                             (server->cold().is_cold() ? cold_factor : 1.0);
     scored result;
     result.server = &server;
+    result.free_share =
+        slots > 1 ? (slots - 1 - server->load().total()) / (slots - 1) : 1 - server->load().total();
+    result.fetches = has_object && !familiar;
     result.wait = milliseconds_d(request.run_time) * slowness * ahead / slots;
     result.expected = milliseconds_d(distances.round_trip(at)) + result.wait + run * slowness;
     result.cost = result.expected + server->failures().failure_share() * failure_cost +
@@ -107,6 +115,10 @@
     const milliseconds_d run = request.run_time;
     const milliseconds_d slack = std::max(milliseconds_d::zero(), milliseconds_d(request.target_left) -
                                                                       (candidate.expected - candidate.wait));
+    // A fetch that ends late is worth little and takes several times the slot time of the requests that its
+    // server answers in time.
+    if (candidate.fetches && slack == milliseconds_d::zero())
+        return candidate.free_share >= kept_from_late_fetches;
     return candidate.wait <= slack + run * late_allowance;
 }
 
@@ -127,6 +139,8 @@
     for (const auto& server : candidates) {
         if (server->failures().is_suspended() || !server->cold().may_start(request.cold_spacing))
             continue;
+        if (request.may_warm && server->cold().is_cold() && !request.may_warm(*server))
+            continue;
         if (std::find(excluded.begin(), excluded.end(), server) == excluded.end())
             able.push_back(server);
     }
@@ -151,8 +165,7 @@
     if (!best)
         return refused;
     return server_choice{*best->server, std::chrono::duration_cast<core::duration>(best->expected),
-                         std::chrono::duration_cast<core::duration>(best->wait),
-                         best->server->get() == home};
+                         std::chrono::duration_cast<core::duration>(best->wait), best->server->get() == home};
 }
 
 } // namespace knapweed::steering
--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -11,9 +11,22 @@
 
 /** Part of the largest shift that the limit uses; the rest is for the noise of a few hundred requests. */
 constexpr double used_shift = 0.6;
-/** Retries may be a tenth of an instance's requests and a burst of three: the sum over ten instances stays
-   below the common budget of a fifth of the requests and a few dozen. */
-constexpr decision::retry_budget_options retry_options{1, 3, 1000, core::milliseconds{600000}};
+/** Each instance repeats half of the allowed share of its own requests, and its share of the allowed excess;
+   the other half covers windows that begin between a request and its repetition. */
+constexpr double used_retry_ratio = 0.5;
+constexpr double used_retry_extra = 0.9;
+constexpr unsigned most_burst = 3;
+constexpr double tenths = 10;
+
+decision::retry_budget_options make_retry_options(const steerer_options& options)
+{
+    decision::retry_budget_options retries;
+    retries.tenths_per_request = static_cast<unsigned>(options.retry_ratio * used_retry_ratio * tenths);
+    retries.burst = most_burst;
+    retries.buckets = 1000;
+    return retries;
+}
+
 /** All requests share one bucket a service: callers have no identity here. */
 const core::caller_id all_callers{"all"};
 
@@ -67,8 +80,9 @@
 steerer::steerer(steerer_options options, const core::clock& time)
     : options_(std::move(options)), time_(time), random_(options_.seed), servers_(time),
       peers_(options_.instance, time), peer_loads_(servers_, time),
-      store_(options_.instance, options_.at.region, peers_, time), distances_(options_.at),
-      retries_(retry_options, time), last_tick_(time.now())
+      store_(options_.instance, options_.at.region, peers_, time),
+      cold_rights_(options_.instance, options_.at.region, peers_, time), distances_(options_.at),
+      retries_(make_retry_options(options_), time), last_tick_(time.now())
 {}
 
 bool steerer::apply(traffic_policy policy)
@@ -147,7 +161,11 @@
     double cold_rate = 0;
     if (const auto found = plan.policy->services.find(plan.service); found != plan.policy->services.end())
         cold_rate = found->second.cold_requests_per_second;
-    request.cold_spacing = cold_start_spacing(cold_rate, peers_.known() + 1);
+    const auto senders = most_cold_senders(cold_rate, options_.cold_multiplier, options_.cold_slack);
+    request.cold_spacing = cold_start_spacing(cold_rate, std::min(peers_.known() + 1, senders));
+    request.may_warm = [this, senders](const backend_server& server) {
+        return cold_rights_.may_warm(server, senders);
+    };
     return request;
 }
 
@@ -326,6 +344,13 @@
     return step;
 }
 
+/** The sum of all bursts stays below the excess that all instances may have together. */
+void steerer::share_retries()
+{
+    const double share = options_.retry_extra * used_retry_extra / static_cast<double>(peers_.known() + 1);
+    retries_.set_burst(std::clamp(static_cast<unsigned>(share), 1U, most_burst));
+}
+
 void steerer::abandoned(backend_server& server)
 {
     server.load().request_ended();
@@ -345,6 +370,7 @@
     if (stood_still)
         servers_.assume_all_cold(distrust_after_standstill);
     peers_.tick();
+    share_retries();
     store_.tick();
     servers_.set_store_reachable(store_.store_reachable());
     servers_.tick();
--- a/source/steering/steerer.h
+++ b/source/steering/steerer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decision/retry_budget.h"
+#include "steering/cold_start_rights.h"
 #include "steering/peer_loads.h"
 #include "steering/peer_table.h"
 #include "steering/request_plan.h"
@@ -19,6 +20,13 @@
     place at;
     /** Share of a region's requests that may move to other regions from one window to the next. */
     double largest_shift = 0.15;
+    /** All instances together may send a cold server its rate times this, and some more, in any second. */
+    double cold_multiplier = 1.5;
+    double cold_slack = 5;
+    /** All instances together may repeat this share of the requests of a service, and some more, in any
+     * window. */
+    double retry_ratio = 0.2;
+    double retry_extra = 60;
     core::milliseconds shift_window{2000};
     std::uint64_t seed = 0;
 };
@@ -79,6 +87,7 @@
     [[nodiscard]] std::vector<server_pointer> allowed_servers(const request_plan& plan) const;
     [[nodiscard]] std::size_t remembered_requests() const;
     [[nodiscard]] std::size_t most_connections(const request_plan& plan) const;
+    void share_retries();
     void learn(request_plan& plan, backend_server& server, const attempt_result& result);
     void plan_regions_of(const core::service_id& service, service_state& state);
     [[nodiscard]] double demand_in(const core::service_id& service, const core::region_id& region,
@@ -93,6 +102,7 @@
     peer_table peers_;
     peer_loads peer_loads_;
     store_duty store_;
+    cold_start_rights cold_rights_;
     distance_table distances_;
     decision::retry_budget retries_;
     std::unordered_map<core::service_id, service_state> services_;
--- a/tests/steering/estimates_test.cpp
+++ b/tests/steering/estimates_test.cpp
@@ -89,6 +89,51 @@
     REQUIRE_FALSE(instances.front().is_cold());
 }
 
+// Guards against messages between instances that take the processor time of the requests as instances are
+// added.
+TEST_CASE("loads are told often by few instances and at a bounded rate by many")
+{
+    REQUIRE(load_interval(0, 0) == milliseconds(30));
+    REQUIRE(load_interval(3, 6) == milliseconds(30));
+    const auto many = load_interval(21, 43);
+    const double a_second = (21 + 43 / 4.0) / std::chrono::duration<double>(many).count();
+    REQUIRE(a_second <= 320.5);
+    REQUIRE(load_interval(99, 200) * load_rounds_per_far_message <
+            milliseconds(1000)); // or the others forget it
+}
+
+// Guards against a cold server that gets a request from each of many instances in the same second.
+TEST_CASE("only as many instances as a cold server bears send to it, and they agree on who does")
+{
+    core::simulated_clock time;
+    constexpr std::size_t instances = 65;
+    const auto name = [](std::size_t i) { return core::instance_id{"i" + std::to_string(i)}; };
+    backend_server server(test::sample_server("s0"), test::near_region, time);
+    std::size_t holders = 0;
+    std::size_t near_holders = 0;
+    for (std::size_t own = 0; own < instances; ++own) {
+        peer_table peers(name(own), time);
+        for (std::size_t i = 0; i < instances; ++i) {
+            instance_status status;
+            status.instance = name(i);
+            status.at = test::sample_place();
+            status.at.region = i % 3 == 0 ? test::near_region : test::far_region;
+            status.incarnation = {1};
+            peers.heard(status);
+        }
+        const auto region = own % 3 == 0 ? test::near_region : test::far_region;
+        cold_start_rights rights(name(own), region, peers, time);
+        if (!rights.may_warm(server, 11))
+            continue;
+        ++holders;
+        near_holders += own % 3 == 0 ? 1 : 0;
+    }
+    REQUIRE(holders == 11);
+    REQUIRE(near_holders == 11);
+    REQUIRE(most_cold_senders(4.5, 1.5, 8) <= 4.5 * 1.5 + 8);
+    REQUIRE(most_cold_senders(4.5, 1.5, 8) >= 4);
+}
+
 // Guards against taking a slow server for a normal one, and against never trying it again.
 TEST_CASE("a slow server is recognised within a few answers and forgiven after a while")
 {
--- a/tests/steering/server_choice_test.cpp
+++ b/tests/steering/server_choice_test.cpp
@@ -75,6 +75,32 @@
     REQUIRE(std::get<no_choice>(refused).shortest_wait > core::duration::zero());
 }
 
+// Guards against fetches that end late and take the slots of requests which could be answered in time.
+TEST_CASE("a fetch that ends late starts only at a server that is mostly free")
+{
+    choice_fixture fixture;
+    fixture.request.object_hash = core::hash_text("object 17");
+    const auto home = fixture.choose();
+    choice_fixture::occupy(*home, 12);
+    for (const auto& server : fixture.servers) {
+        if (server != home)
+            choice_fixture::occupy(*server, 1);
+    }
+    REQUIRE(fixture.choose() == nullptr); // one of three slots is in use everywhere, the home server is full
+    const auto idle = fixture.servers.front() == home ? fixture.servers.back() : fixture.servers.front();
+    idle->load().request_ended();
+    REQUIRE(fixture.choose() == idle);
+    choice_fixture::occupy(*idle, 1);
+    fixture.request.target_left = milliseconds(300); // the fetch would end in time
+    REQUIRE(fixture.choose() != nullptr);
+
+    fixture.request.target_left = milliseconds(200);
+    auto record = test::sample_server("single");
+    record.slots = 1;
+    fixture.servers = {std::make_shared<backend_server>(record, test::near_region, fixture.time)};
+    REQUIRE(fixture.choose() == fixture.servers.front()); // the only slot there is
+}
+
 // Guards against starting work that can't end in time.
 TEST_CASE("a request that can't end before its time limit is refused at once")
 {
