Name the largest instances in look-ups; drop requests whose callers left unread

Cause: look-ups named every ready instance of the data centre alike. Change: instances tell their cores. An answer names the largest ready ones, enough for 0.6 of the data centre's capacity; with less than half of it ready, those of the region. Before a request is forwarded, the connection is looked at for its end, so that a process that is behind does not forward for callers that have left. Both new tests fail without the change (the second: 3 requests at the servers instead of 2).

--- a/source/gateway/caller_exchange.cpp
+++ b/source/gateway/caller_exchange.cpp
@@ -81,6 +81,13 @@
 
 caller_exchange::~caller_exchange() = default;
 
+bool caller_exchange::notice_departure()
+{
+    if (!caller_gone_)
+        session_->notice_departure();
+    return caller_gone_;
+}
+
 void caller_exchange::lose_caller()
 {
     caller_gone_ = true;
--- a/source/gateway/caller_session.cpp
+++ b/source/gateway/caller_session.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <sys/socket.h>
 
 namespace knapweed::gateway {
 
@@ -296,6 +297,13 @@
         finish_sending();
 }
 
+void caller_session::notice_departure()
+{
+    char byte = 0;
+    if (!closed_ && ::recv(stream_->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0)
+        close();
+}
+
 void caller_session::close()
 {
     if (std::exchange(closed_, true))
--- a/source/gateway/caller_session.h
+++ b/source/gateway/caller_session.h
@@ -41,6 +41,8 @@
     void check_time();
     /** Ends the connection if no request is in progress. */
     void close_if_idle();
+    /** Closes the connection if its caller has closed it. */
+    void notice_departure();
     /** Closes the connection at once; the callers of all open exchanges are gone. */
     void close();
 
--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -109,6 +109,11 @@
         co_await exchange_->answer(head, {});
         co_return;
     }
+    if (exchange_->notice_departure()) {
+        context_.metrics.add(net::counter::callers_lost);
+        log_end("caller_left", 0, "the caller had closed its connection before the request was read", {});
+        co_return;
+    }
     auto step = context_.decisions.begin(read_facts(), plan_);
     if (std::holds_alternative<steering::send_step>(step)) {
         arm_timer();
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -176,6 +176,19 @@
     co_await exchange->answer(head, {});
 }
 
+std::vector<steering::lookup_candidate> gateway::lookup_candidates()
+{
+    std::vector<steering::lookup_candidate> candidates;
+    candidates.push_back({settings_.caller_address, settings_.data_centre, settings_.capacity, ready()});
+    decisions_.peers().visit([this, &candidates](const steering::instance_status& status, bool live) {
+        if (status.at.region != settings_.region)
+            return;
+        candidates.push_back({status.caller_address, status.at.data_centre, status.capacity,
+                              live && status.ready && !status.leaving});
+    });
+    return candidates;
+}
+
 asio::awaitable<void> gateway::answer_lookup(std::shared_ptr<caller_exchange> exchange)
 {
     answer_head head;
@@ -185,10 +198,7 @@
         co_await exchange->answer(head, {});
         co_return;
     }
-    auto addresses = decisions_.peers().caller_addresses(settings_.data_centre);
-    if (ready())
-        addresses.push_back(settings_.caller_address);
-    std::sort(addresses.begin(), addresses.end());
+    const auto addresses = steering::choose_instances(settings_.data_centre, lookup_candidates());
     if (addresses.empty()) {
         head = {503, "No instance", "", {}};
     }
@@ -218,6 +228,7 @@
     status.sequence = ++sequence_;
     status.ready = ready();
     status.leaving = leaving_;
+    status.capacity = settings_.capacity;
     status.demand = decisions_.demand();
     status.store = decisions_.store().view();
     return status;
--- a/source/gateway/gateway.h
+++ b/source/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "gateway/forwarded_request.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/peer_link.h"
+#include "steering/lookup_choice.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -63,6 +64,7 @@
     [[nodiscard]] std::shared_ptr<session_context> make_context(session_context::handler handle);
     net::asio::awaitable<void> forward(std::shared_ptr<caller_exchange> exchange);
     net::asio::awaitable<void> answer_readiness(std::shared_ptr<caller_exchange> exchange);
+    [[nodiscard]] std::vector<steering::lookup_candidate> lookup_candidates();
     net::asio::awaitable<void> answer_lookup(std::shared_ptr<caller_exchange> exchange);
     net::asio::awaitable<void> answer_metrics(std::shared_ptr<caller_exchange> exchange);
     net::asio::awaitable<void> keep_time();
--- a/source/gateway/gateway_settings.cpp
+++ b/source/gateway/gateway_settings.cpp
@@ -101,6 +101,8 @@
     settings.store_address = read.address("platform.store");
     settings.grace = read.time("timing.grace_ms", settings.grace, 1000, 600000);
     settings.lookup_ttl = read.time("timing.lookup_ttl_ms", settings.lookup_ttl, 100, 600000);
+    settings.capacity = read.number("instance.cpu_share", 1, 0.001, 1000) *
+                        read.number("instance.core_speed", 1, 0.001, 1000);
     settings.largest_shift = read.number("steering.largest_shift", settings.largest_shift, 0.001, 1);
     settings.cold_multiplier = read.number("steering.cold_multiplier", settings.cold_multiplier, 0.1, 1000);
     settings.cold_slack = read.number("steering.cold_slack", settings.cold_slack, 0, 100000);
--- a/source/gateway/gateway_settings.h
+++ b/source/gateway/gateway_settings.h
@@ -21,6 +21,7 @@
     std::string store_address;           ///< ip:port of the platform's store
     core::milliseconds grace{6000};      ///< from the stop signal to the end of the process
     core::milliseconds lookup_ttl{4000}; ///< for which callers may keep an answer to a look-up
+    double capacity = 1;                 ///< cores that the process may use, of normal speed
     double largest_shift = 0.15;         ///< share of a region's requests that may move in two seconds
     double cold_multiplier = 1.5; ///< all instances may send a cold server its rate times this in a second,
     double cold_slack = 5;        ///< and this many requests more
--- a/source/gateway/status_codec.cpp
+++ b/source/gateway/status_codec.cpp
@@ -20,6 +20,7 @@
     message.set_sequence(status.sequence);
     message.set_ready(status.ready);
     message.set_leaving(status.leaving);
+    message.set_capacity(status.capacity);
     for (const auto& [service, rate] : status.demand) {
         auto* demand = message.add_demand();
         demand->set_service(service.str());
@@ -43,6 +44,8 @@
     status.sequence = message.sequence();
     status.ready = message.ready();
     status.leaving = message.leaving();
+    if (std::isfinite(message.capacity()) && message.capacity() > 0)
+        status.capacity = message.capacity();
     for (const auto& demand : message.demand()) {
         const double rate = demand.requests_per_second();
         if (std::isfinite(rate) && rate >= 0)
--- a/source/steering/peer_table.cpp
+++ b/source/steering/peer_table.cpp
@@ -47,16 +47,10 @@
     return each.heard_at && time_.now() - *each.heard_at < heard_within;
 }
 
-std::vector<std::string> peer_table::caller_addresses(const core::data_centre_id& data_centre) const
+void peer_table::visit(const std::function<void(const instance_status&, bool live)>& visitor) const
 {
-    std::vector<std::string> addresses;
-    for (const auto& [instance, each] : peers_) {
-        const auto& status = each.status;
-        if (status.at.data_centre == data_centre && status.ready && !status.leaving && is_live(each))
-            addresses.push_back(status.caller_address);
-    }
-    std::sort(addresses.begin(), addresses.end());
-    return addresses;
+    for (const auto& [instance, each] : peers_)
+        visitor(each.status, is_live(each));
 }
 
 std::vector<std::string> peer_table::peer_addresses() const
--- a/source/steering/peer_table.h
+++ b/source/steering/peer_table.h
@@ -21,6 +21,7 @@
     std::uint64_t sequence = 0;                ///< grows with each message of an incarnation
     bool ready = false;                        ///< serves callers
     bool leaving = false;                      ///< a graceful shutdown has begun
+    double capacity = 1;                       ///< cores that it may use
     std::map<core::service_id, double> demand; ///< requests per second that arrive there
     store_view store;
 };
@@ -41,8 +42,8 @@
     void registered(const instance_status& status);
     void unregistered(const core::instance_id& instance);
 
-    /** @returns the addresses for callers of the live, ready instances of a data centre, in order. */
-    [[nodiscard]] std::vector<std::string> caller_addresses(const core::data_centre_id& data_centre) const;
+    /** Calls @p visitor with the latest status of each known instance, and whether it was heard lately. */
+    void visit(const std::function<void(const instance_status&, bool live)>& visitor) const;
     /** @returns the addresses to which status messages are sent. */
     [[nodiscard]] std::vector<std::string> peer_addresses() const;
     /** @returns those of the instances of one region. */
--- a/source/steering/steering.h
+++ b/source/steering/steering.h
@@ -10,6 +10,7 @@
 #include "steering/cold_start_rights.h"
 #include "steering/distance_table.h"
 #include "steering/failure_record.h"
+#include "steering/lookup_choice.h"
 #include "steering/object_memory.h"
 #include "steering/occupancy_estimate.h"
 #include "steering/peer_loads.h"
--- a/tests/gateway/forwarding_fixture.cpp
+++ b/tests/gateway/forwarding_fixture.cpp
@@ -1,5 +1,8 @@
 #include "forwarding_fixture.h"
 
+#include <boost/asio/post.hpp>
+#include <future>
+
 #include <fcntl.h>
 
 namespace knapweed::test {
@@ -74,6 +77,16 @@
     co_await request->run();
 }
 
+void forwarding_fixture::hold_up(const std::function<void()>& action)
+{
+    std::promise<void> done;
+    boost::asio::post(io_, [&] {
+        action();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
 std::size_t forwarding_fixture::requests_at_servers() const
 {
     std::size_t sum = 0;
--- a/tests/gateway/forwarding_fixture.h
+++ b/tests/gateway/forwarding_fixture.h
@@ -42,6 +42,8 @@
     [[nodiscard]] std::uint16_t port() const { return door_.port(); }
     [[nodiscard]] upstream_fake& server(std::size_t index) { return *servers_.at(index); }
     [[nodiscard]] std::size_t requests_at_servers() const;
+    /** Runs @p action on the gateway's thread, which does nothing else meanwhile. */
+    void hold_up(const std::function<void()>& action);
 
 private:
     net::asio::awaitable<void> forward(std::shared_ptr<gateway::caller_exchange> exchange);
--- a/tests/gateway/forwarding_test.cpp
+++ b/tests/gateway/forwarding_test.cpp
@@ -183,6 +183,24 @@
     REQUIRE(fixture.server(0).wait_for_closed(1));
 }
 
+// Guards against a process that has fallen behind and forwards requests of callers that left long ago.
+TEST_CASE("a request whose caller had left before it was read reaches no server")
+{
+    forwarding_fixture fixture({answer_well});
+    test_client earlier(fixture.port());
+    earlier.send(make_request("6"));
+    REQUIRE(earlier.read_answer().starts_with("HTTP/1.1 200")); // its connection to the server is kept
+    fixture.hold_up([&fixture] {
+        test_client client(fixture.port());
+        client.send(make_request("7"));
+        client.close();
+    });
+    test_client next(fixture.port());
+    next.send(make_request("8"));
+    REQUIRE(next.read_answer().starts_with("HTTP/1.1 200"));
+    REQUIRE(fixture.requests_at_servers() == 2);
+}
+
 // Guards against answers that are crossed when several requests are sent at once.
 TEST_CASE("pipelined requests are forwarded at once and answered in their order")
 {
--- a/tests/steering/estimates_test.cpp
+++ b/tests/steering/estimates_test.cpp
@@ -207,18 +207,52 @@
     status.incarnation = {5};
     status.sequence = 2;
     status.ready = true;
+    const auto named = [&peers](const core::data_centre_id& data_centre, const core::region_id& region) {
+        std::vector<lookup_candidate> candidates;
+        peers.visit([&](const instance_status& each, bool live) {
+            if (each.at.region == region)
+                candidates.push_back({each.caller_address, each.at.data_centre, each.capacity,
+                                      live && each.ready && !each.leaving});
+        });
+        return choose_instances(data_centre, candidates);
+    };
     peers.registered(status);
-    REQUIRE(peers.caller_addresses(status.at.data_centre).empty());
+    REQUIRE(named(status.at.data_centre, status.at.region).empty());
     peers.heard(status);
-    REQUIRE(peers.caller_addresses(status.at.data_centre).size() == 1);
-    REQUIRE(peers.caller_addresses(core::data_centre_id{"far-a"}).empty());
+    REQUIRE(named(status.at.data_centre, status.at.region).size() == 1);
+    REQUIRE(named(core::data_centre_id{"far-a"}, test::far_region).empty());
     status.leaving = true;
     status.sequence = 1;
     peers.heard(status);
-    REQUIRE(peers.caller_addresses(status.at.data_centre).size() == 1);
+    REQUIRE(named(status.at.data_centre, status.at.region).size() == 1);
     time.advance(milliseconds(4000));
-    REQUIRE(peers.caller_addresses(status.at.data_centre).empty());
+    REQUIRE(named(status.at.data_centre, status.at.region).empty());
     status.sequence = 3;
     peers.heard(status);
-    REQUIRE(peers.caller_addresses(status.at.data_centre).empty());
+    REQUIRE(named(status.at.data_centre, status.at.region).empty());
+}
+
+// Guards against a small instance that gets as many callers as a large one, or all callers of a data centre.
+TEST_CASE("look-ups name the largest instances, and the region's when most of a data centre is gone")
+{
+    const core::data_centre_id here{"near-a"};
+    const core::data_centre_id beside{"near-b"};
+    std::vector<lookup_candidate> region{{"large-1", here, 0.5, true},   {"large-2", here, 0.5, true},
+                                         {"small-1", here, 0.1, true},   {"small-2", here, 0.1, true},
+                                         {"small-3", here, 0.1, true},   {"beside-1", beside, 0.5, true},
+                                         {"beside-2", beside, 0.1, true}};
+    REQUIRE(choose_instances(here, region) == std::vector<std::string>{"large-1", "large-2"});
+    region[0].ready = false; // most of the capacity is left
+    REQUIRE(choose_instances(here, region) ==
+            std::vector<std::string>{"large-2", "small-1", "small-2", "small-3"});
+    region[1].ready = false; // the small ones alone would be overloaded
+    const auto helped = choose_instances(here, region);
+    REQUIRE(std::count(helped.begin(), helped.end(), "beside-1") == 1);
+    for (auto& each : region)
+        each.ready = false;
+    REQUIRE(choose_instances(here, region).empty());
+
+    const std::vector<lookup_candidate> equal{
+        {"a", here, 0.2, true}, {"b", here, 0.2, true}, {"c", here, 0.2, true}, {"d", here, 0.2, true}};
+    REQUIRE(choose_instances(here, equal).size() == 4);
 }
