Count the home server's answers as familiar run times

Cause: an answer taught the unfamiliar run time unless this very instance had sent the object to the server lately, also when the server was the object's home, which every instance sends it to. Change: the home server counts as familiar, as the choice of a server has it already.

--- a/source/steering/request_plan.h
+++ b/source/steering/request_plan.h
@@ -32,7 +32,7 @@
     core::server_id server;
     double occupancy = 0;                     ///< estimated when it was sent
     std::optional<core::duration> report_age; ///< of the load report behind the estimate
-    bool familiar = false;                    ///< this instance had sent the object to the server before
+    bool familiar = false;                    ///< the server probably has the request's object at hand
     bool home = false;                        ///< all instances send the object to this server first
     core::duration expected_wait{};           ///< part of the expected time, in the server's queue
     core::duration expected_time{};
