--- a/source/steering/failure_record.h
+++ b/source/steering/failure_record.h
@@ -21,10 +21,8 @@
     void unreachable();
 
     [[nodiscard]] bool is_suspended() const { return time_.now() < suspended_until_; }
-    [[nodiscard]] core::time_point suspended_until() const noexcept { return suspended_until_; }
     /** @returns the recent share of failures, 0 to 1. */
     [[nodiscard]] double failure_share() const noexcept { return failure_share_; }
-    [[nodiscard]] unsigned consecutive_failures() const noexcept { return consecutive_; }
 
 private:
     void suspend();
