--- a/tests/decision/pool_test.cpp
+++ b/tests/decision/pool_test.cpp
@@ -111,7 +111,8 @@
 }
 
 // Guards against one run more than a hung server's slots: it does not stop a run that is cancelled.
-TEST_CASE("a run cancelled at a server that has ended nothing for long keeps its slot until reports show it free")
+TEST_CASE(
+    "a run cancelled at a server that has ended nothing for long keeps its slot until reports show it free")
 {
     pool_fixture fixture{1};
     fixture.warm_up(3);
