--- a/source/decision/server_slots.cpp
+++ b/source/decision/server_slots.cpp
@@ -14,8 +14,6 @@
 constexpr core::duration takeover_blind_time = 1s;
 /** Time for a cancellation to reach the server: several times the latency inside a data centre. */
 constexpr core::duration cancellation_time = 5ms;
-/** A server that ended nothing for this time, two probe intervals, may hang and run on what is cancelled. */
-constexpr core::duration alive_after_success = 1s;
 /** A run older than this when a probe left is certainly counted in the report. */
 constexpr core::duration dispatch_time = 10ms;
 /** Servers that announce their departure may report other values from a lagging endpoint for a while. */
@@ -168,7 +166,7 @@
         assumed_.assume(1, now, end_of_timed_out(run, now));
         break;
     case run_end::cancelled:
-        assumed_.assume(1, now, end_of_cancelled(now));
+        assumed_.assume(1, now, now + cancellation_time);
         break;
     }
 }
@@ -185,14 +183,6 @@
     return now + cancellation_time;
 }
 
-std::optional<core::time_point> server_slots::end_of_cancelled(core::time_point now) const
-{
-    // Whether a server that may hang has stopped the run is only known from reports or a restart.
-    if (now - last_success_ > alive_after_success)
-        return std::nullopt;
-    return now + cancellation_time;
-}
-
 void server_slots::on_death(finished_run& finished, const slot_run& run, core::time_point now)
 {
     if (run.death_reported)
--- a/source/decision/server_slots.h
+++ b/source/decision/server_slots.h
@@ -75,7 +75,6 @@
     void learn_from(run_end end, const slot_run& run, core::time_point now);
     [[nodiscard]] std::optional<core::time_point> end_of_timed_out(const slot_run& run,
                                                                    core::time_point now) const;
-    [[nodiscard]] std::optional<core::time_point> end_of_cancelled(core::time_point now) const;
     void on_death(finished_run& finished, const slot_run& run, core::time_point now);
     void on_unreached(core::time_point sent);
     void restart_cold();
