Share what the gateway and knapweedd both had

The gateway wrote again what the product had: opening a listening socket (net::open_listener), the log levels with their names and their log4cplus values (net/log_level.h), acting on the command line (daemons::run_command) and strict parsing of numbers (net::parse_number). Behaviour is unchanged. settings_reader keeps its own parse_number: the operators' module does not link the network module.

--- a/source/daemons/command_line.cpp
+++ b/source/daemons/command_line.cpp
@@ -1,6 +1,7 @@
 #include "command_line.h"
 
 #include <array>
+#include <cstdio>
 #include <getopt.h>
 
 namespace knapweed::daemons {
@@ -52,4 +53,25 @@
     return line;
 }
 
+int run_command(const command_line& line, const char* program, const char* usage,
+                const std::function<int(const command_line&)>& serve)
+{
+    using request = command_line::request;
+    switch (line.asked) {
+    case request::show_help:
+        std::fputs(usage, stdout);
+        return exit_ok;
+    case request::show_version:
+        std::printf("%s %s\n", program, KNAPWEED_VERSION);
+        return exit_ok;
+    case request::reject:
+        std::fprintf(stderr, "%s: %s\n%s", program, line.fault.c_str(), usage);
+        return exit_bad_input;
+    case request::serve:
+    case request::check_config:
+        return serve(line);
+    }
+    return exit_bad_input;
+}
+
 } // namespace knapweed::daemons
--- a/source/daemons/command_line.h
+++ b/source/daemons/command_line.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string>
 
 namespace knapweed::daemons {
@@ -18,4 +19,12 @@
 [[nodiscard]] command_line parse_command_line(int argc, char** argv,
                                               const std::string& default_settings = {});
 
+inline constexpr int exit_ok = 0;
+inline constexpr int exit_bad_input = 2;
+
+/** Does what the arguments ask for. @param program name for messages. @param serve called to serve or to
+   check the settings. @returns the exit status. */
+[[nodiscard]] int run_command(const command_line& line, const char* program, const char* usage,
+                              const std::function<int(const command_line&)>& serve);
+
 } // namespace knapweed::daemons
--- a/source/daemons/knapweed_gateway.cpp
+++ b/source/daemons/knapweed_gateway.cpp
@@ -8,11 +8,8 @@
 namespace {
 
 using namespace knapweed;
-using request = daemons::command_line::request;
 
-constexpr int exit_ok = 0;
 constexpr int exit_cannot_listen = 1;
-constexpr int exit_bad_input = 2;
 
 constexpr const char* usage = R"(usage: knapweed-gateway [--settings FILE]
        knapweed-gateway --check-config FILE
@@ -29,10 +26,10 @@
     for (const auto& error : read.errors)
         std::fprintf(stderr, "knapweed-gateway: %s: %s\n", line.settings_file.c_str(), error.c_str());
     if (!read.errors.empty())
-        return exit_bad_input;
-    if (line.asked == request::check_config) {
+        return daemons::exit_bad_input;
+    if (line.asked == daemons::command_line::request::check_config) {
         std::printf("%s: ok\n", line.settings_file.c_str());
-        return exit_ok;
+        return daemons::exit_ok;
     }
     // A write to a connection that the other side closed must fail, not end the process.
     std::signal(SIGPIPE, SIG_IGN);
@@ -46,27 +43,13 @@
     instance.run();
     // Joining the logging library's pool of threads can outlast the grace period; the operating system frees
     // all.
-    std::quick_exit(exit_ok);
+    std::quick_exit(daemons::exit_ok);
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    const auto line = daemons::parse_command_line(argc, argv, platform::settings_path());
-    switch (line.asked) {
-    case request::show_help:
-        std::fputs(usage, stdout);
-        return exit_ok;
-    case request::show_version:
-        std::printf("knapweed-gateway %s\n", KNAPWEED_VERSION);
-        return exit_ok;
-    case request::reject:
-        std::fprintf(stderr, "knapweed-gateway: %s\n%s", line.fault.c_str(), usage);
-        return exit_bad_input;
-    case request::serve:
-    case request::check_config:
-        return serve(line);
-    }
-    return exit_bad_input;
+    return daemons::run_command(daemons::parse_command_line(argc, argv, platform::settings_path()),
+                                "knapweed-gateway", usage, serve);
 }
--- a/source/daemons/knapweedd.cpp
+++ b/source/daemons/knapweedd.cpp
@@ -8,10 +8,6 @@
 namespace {
 
 using namespace knapweed;
-using request = daemons::command_line::request;
-
-constexpr int exit_ok = 0;
-constexpr int exit_bad_input = 2;
 
 constexpr const char* usage = R"(usage: knapweedd --settings FILE
        knapweedd --check-config FILE
@@ -28,10 +24,10 @@
     for (const auto& error : read.errors)
         std::fprintf(stderr, "knapweedd: %s\n", operators::to_string(error).c_str());
     if (!read.errors.empty())
-        return exit_bad_input;
-    if (line.asked == request::check_config) {
+        return daemons::exit_bad_input;
+    if (line.asked == daemons::command_line::request::check_config) {
         std::printf("%s: ok\n", line.settings_file.c_str());
-        return exit_ok;
+        return daemons::exit_ok;
     }
     // A write to a connection that the other side closed must fail, not end the process.
     std::signal(SIGPIPE, SIG_IGN);
@@ -43,20 +39,5 @@
 
 int main(int argc, char** argv)
 {
-    const auto line = daemons::parse_command_line(argc, argv);
-    switch (line.asked) {
-    case request::show_help:
-        std::fputs(usage, stdout);
-        return exit_ok;
-    case request::show_version:
-        std::printf("knapweedd %s\n", KNAPWEED_VERSION);
-        return exit_ok;
-    case request::reject:
-        std::fprintf(stderr, "knapweedd: %s\n%s", line.fault.c_str(), usage);
-        return exit_bad_input;
-    case request::serve:
-    case request::check_config:
-        return serve(line);
-    }
-    return exit_bad_input;
+    return daemons::run_command(daemons::parse_command_line(argc, argv), "knapweedd", usage, serve);
 }
--- a/source/gateway/caller_door.cpp
+++ b/source/gateway/caller_door.cpp
@@ -1,5 +1,7 @@
 #include "gateway/caller_door.h"
 
+#include "net/listener.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -22,14 +24,7 @@
 
 net::error_code caller_door::listen(const net::tcp::endpoint& address)
 {
-    net::error_code error;
-    acceptor_.open(address.protocol(), error);
-    if (!error)
-        acceptor_.set_option(net::tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        acceptor_.bind(address, error);
-    if (!error)
-        acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    const auto error = net::open_listener(acceptor_, address);
     if (!error)
         asio::co_spawn(executor_, accept(), asio::detached);
     return error;
--- a/source/gateway/event_log.cpp
+++ b/source/gateway/event_log.cpp
@@ -16,19 +16,6 @@
 constexpr std::size_t safe_write_bytes = 4096;
 constexpr int most_writes_per_flush = 16;
 
-log4cplus::LogLevel to_log4cplus(log_level level)
-{
-    switch (level) {
-    case log_level::info:
-        return log4cplus::INFO_LOG_LEVEL;
-    case log_level::warn:
-        return log4cplus::WARN_LOG_LEVEL;
-    case log_level::error:
-        break;
-    }
-    return log4cplus::ERROR_LOG_LEVEL;
-}
-
 } // namespace
 
 /** Keeps formatted lines until the output takes them. */
@@ -115,7 +102,7 @@
     return true;
 }
 
-void event_log::write(log_level level, json_line line)
+void event_log::write(net::log_level level, json_line line)
 {
     if (!take_token()) {
         ++dropped_;
@@ -129,7 +116,7 @@
         line.add("lines_dropped", dropped_ - reported_dropped_);
         reported_dropped_ = dropped_;
     }
-    logger_->logger.log(to_log4cplus(level), line.str());
+    logger_->logger.log(net::to_log4cplus(level), line.str());
 }
 
 void event_log::flush()
--- a/source/gateway/event_log.h
+++ b/source/gateway/event_log.h
@@ -1,13 +1,12 @@
 #pragma once
 
 #include "gateway/json_line.h"
+#include "net/log_level.h"
 
 #include <memory>
 
 namespace knapweed::gateway {
 
-enum class log_level { info, warn, error };
-
 struct event_log_options {
     std::string instance;
     unsigned lines_per_second = 400;
@@ -27,9 +26,9 @@
     event_log& operator=(const event_log&) = delete;
     ~event_log();
 
-    void write(log_level level, json_line line);
-    void info(json_line line) { write(log_level::info, std::move(line)); }
-    void warn(json_line line) { write(log_level::warn, std::move(line)); }
+    void write(net::log_level level, json_line line);
+    void info(json_line line) { write(net::log_level::info, std::move(line)); }
+    void warn(json_line line) { write(net::log_level::warn, std::move(line)); }
 
     /** Writes what the output takes without blocking; to be called several times a second. */
     void flush();
@@ -52,12 +51,3 @@
 };
 
 } // namespace knapweed::gateway
-
-namespace knapweed::core {
-
-template <>
-struct names_of<gateway::log_level> {
-    static constexpr std::array<std::string_view, 3> table{"info", "warn", "error"};
-};
-
-} // namespace knapweed::core
--- a/source/net/http_server.cpp
+++ b/source/net/http_server.cpp
@@ -1,6 +1,7 @@
 #include "net/http_server.h"
 
 #include "net/http_session.h"
+#include "net/listener.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -25,14 +26,7 @@
 
 error_code http_server::listen(const tcp::endpoint& address)
 {
-    error_code error;
-    acceptor_.open(address.protocol(), error);
-    if (!error)
-        acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        acceptor_.bind(address, error);
-    if (!error)
-        acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    const auto error = open_listener(acceptor_, address);
     if (!error)
         asio::co_spawn(executor_, accept(), asio::detached);
     return error;
--- /dev/null
+++ b/source/net/log_level.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "core/core.h"
+
+#include <log4cplus/loglevel.h>
+
+namespace knapweed::net {
+
+enum class log_level { debug, info, warn, error };
+
+[[nodiscard]] log4cplus::LogLevel to_log4cplus(log_level level);
+
+} // namespace knapweed::net
+
+namespace knapweed::core {
+
+template <>
+struct names_of<net::log_level> {
+    static constexpr std::array<std::string_view, 4> table{"debug", "info", "warn", "error"};
+};
+
+} // namespace knapweed::core
--- /dev/null
+++ b/source/net/parse_number.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace knapweed::net {
+
+/** @returns the number that the whole text spells, without sign; nothing for any other text. */
+[[nodiscard]] std::optional<std::uint64_t> parse_number(std::string_view text, int base = 10);
+
+} // namespace knapweed::net
--- a/source/net/request_head.cpp
+++ b/source/net/request_head.cpp
@@ -1,9 +1,9 @@
 #include "net/request_head.h"
 
+#include "net/parse_number.h"
 #include "state/configuration_rules.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace knapweed::net {
 
@@ -21,16 +21,6 @@
     return text.size() <= limit && std::all_of(text.begin(), text.end(), printable);
 }
 
-std::optional<std::uint64_t> parse_number(std::string_view text, int base)
-{
-    std::uint64_t value = 0;
-    const auto* const end = text.data() + text.size();
-    const auto [parsed_to, failure] = std::from_chars(text.data(), end, value, base);
-    if (text.empty() || failure != std::errc{} || parsed_to != end)
-        return std::nullopt;
-    return value;
-}
-
 head_failure malformed(std::string detail)
 {
     return {core::refusal_reason::malformed_request, std::move(detail)};
@@ -61,7 +51,7 @@
     }
     meta.timeout = default_timeout;
     if (const auto text = field("Knapweed-Timeout-Ms"); !text.empty()) {
-        const auto number = parse_number(text, 10);
+        const auto number = parse_number(text);
         if (!number || *number == 0 || *number > timeout_limit_ms)
             return malformed("Knapweed-Timeout-Ms must be a number from 1 to 600000");
         meta.timeout = core::milliseconds(*number);
--- a/source/net/telemetry.cpp
+++ b/source/net/telemetry.cpp
@@ -41,21 +41,6 @@
     return *counters.at(static_cast<std::size_t>(reason)).at(core::index_of(rank));
 }
 
-log4cplus::LogLevel to_log4cplus(log_level level)
-{
-    switch (level) {
-    case log_level::debug:
-        return log4cplus::DEBUG_LOG_LEVEL;
-    case log_level::info:
-        return log4cplus::INFO_LOG_LEVEL;
-    case log_level::warn:
-        return log4cplus::WARN_LOG_LEVEL;
-    case log_level::error:
-        break;
-    }
-    return log4cplus::ERROR_LOG_LEVEL;
-}
-
 log4cplus::Logger make_logger(const std::string& instance)
 {
     auto logger = log4cplus::Logger::getInstance(instance);
--- a/source/net/telemetry.h
+++ b/source/net/telemetry.h
@@ -2,6 +2,7 @@
 
 #include "core/core.h"
 #include "decision/action.h"
+#include "net/log_level.h"
 #include "net/metrics.h"
 #include "net/ring.h"
 
@@ -14,8 +15,6 @@
 /** The thread that writes a log line. Each has a ring of its own. */
 enum class log_source { network, decision, control };
 
-enum class log_level { debug, info, warn, error };
-
 struct log_line {
     log_level level = log_level::info;
     core::wall_time time;
@@ -67,12 +66,3 @@
 };
 
 } // namespace knapweed::net
-
-namespace knapweed::core {
-
-template <>
-struct names_of<net::log_level> {
-    static constexpr std::array<std::string_view, 4> table{"debug", "info", "warn", "error"};
-};
-
-} // namespace knapweed::core
