Split the heads of messages and the log line off forwarded_request

The heads go to message_heads, the log line to request_log. Matching of connection fields no longer copies each field's name in lower case on every request, and compares whole names of the list: a name behind one that ends alike ("My-X-Hop, X-Hop") was not found and the field was passed on (new assertion).

--- a/source/gateway/answer_rules.cpp
+++ b/source/gateway/answer_rules.cpp
@@ -1,8 +1,9 @@
 #include "gateway/answer_rules.h"
 
+#include "gateway/field_names.h"
+
 #include <algorithm>
 #include <array>
-#include <cctype>
 
 namespace knapweed::gateway {
 
@@ -19,14 +20,6 @@
     "connection", "keep-alive",        "proxy-connection", "te",    "trailer",
     "upgrade",    "transfer-encoding", "content-length",   "expect"};
 
-std::string lower(std::string_view text)
-{
-    std::string result(text);
-    std::transform(result.begin(), result.end(), result.begin(),
-                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return result;
-}
-
 } // namespace
 
 bool is_for_another_request(const answer_facts& answer)
@@ -60,18 +53,16 @@
 
 bool is_hop_by_hop(std::string_view field, std::string_view nominated)
 {
-    const auto name = lower(field);
-    if (std::find(hop_by_hop_fields.begin(), hop_by_hop_fields.end(), name) != hop_by_hop_fields.end())
+    const auto is_field = [field](std::string_view name) { return is_same_field(field, name); };
+    if (std::any_of(hop_by_hop_fields.begin(), hop_by_hop_fields.end(), is_field))
         return true;
-    if (nominated.empty())
-        return false;
-    const auto list = "," + lower(nominated) + ",";
-    const auto at = list.find(name);
-    if (at == std::string::npos)
-        return false;
-    const auto before = list.find_last_not_of(" \t", at - 1);
-    const auto after = list.find_first_not_of(" \t", at + name.size());
-    return list[before] == ',' && list[after] == ',';
+    while (!nominated.empty()) {
+        const auto end = std::min(nominated.find(','), nominated.size());
+        if (is_field(trim(nominated.substr(0, end))))
+            return true;
+        nominated.remove_prefix(std::min(end + 1, nominated.size()));
+    }
+    return false;
 }
 
 } // namespace knapweed::gateway
--- a/source/gateway/caller_exchange.cpp
+++ b/source/gateway/caller_exchange.cpp
@@ -12,14 +12,6 @@
 
 namespace {
 
-std::string_view trim(std::string_view text)
-{
-    const auto begin = text.find_first_not_of(" \t");
-    if (begin == std::string_view::npos)
-        return {};
-    return text.substr(begin, text.find_last_not_of(" \t") - begin + 1);
-}
-
 /** @returns the value of `name=value` in a list, empty when absent. */
 std::string_view find_pair(std::string_view list, std::string_view name, char separator)
 {
--- a/source/gateway/field_names.cpp
+++ b/source/gateway/field_names.cpp
@@ -12,4 +12,12 @@
     });
 }
 
+std::string_view trim(std::string_view text)
+{
+    const auto begin = text.find_first_not_of(" \t");
+    if (begin == std::string_view::npos)
+        return {};
+    return text.substr(begin, text.find_last_not_of(" \t") - begin + 1);
+}
+
 } // namespace knapweed::gateway
--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -1,12 +1,12 @@
 #include "gateway/forwarded_request.h"
 
-#include "gateway/field_names.h"
+#include "gateway/message_heads.h"
+#include "gateway/request_log.h"
+#include "net/parse_number.h"
 #include "net/time_limit.h"
 
 #include <algorithm>
 #include <array>
-#include <charconv>
-#include <cstdio>
 
 namespace knapweed::gateway {
 
@@ -24,54 +24,9 @@
 /** Limit on opening a connection: round trips, and time for the server's side. */
 constexpr int connect_round_trips = 2;
 constexpr core::milliseconds connect_allowance{60};
-/** A connection is not reused in the last part of the time for which its server keeps it. */
-constexpr double used_idle_share = 0.75;
-constexpr core::milliseconds idle_time_unstated{4000};
 constexpr unsigned bad_request = 400;
 constexpr double bytes_per_kilobyte = 1024;
 
-std::optional<std::uint64_t> parse_number(std::string_view text)
-{
-    std::uint64_t value = 0;
-    const auto* const end = text.data() + text.size();
-    const auto [parsed_to, failure] = std::from_chars(text.data(), end, value);
-    if (text.empty() || failure != std::errc{} || parsed_to != end)
-        return std::nullopt;
-    return value;
-}
-
-/** @returns the time for which the server keeps an idle connection, by the `timeout` of its Keep-Alive field.
- */
-core::duration usable_idle_time(std::string_view keep_alive)
-{
-    constexpr std::string_view parameter = "timeout=";
-    const auto at = keep_alive.find(parameter);
-    if (at == std::string_view::npos)
-        return idle_time_unstated;
-    auto digits = keep_alive.substr(at + parameter.size());
-    digits = digits.substr(0, digits.find_first_not_of("0123456789"));
-    const auto seconds = parse_number(digits);
-    if (!seconds)
-        return idle_time_unstated;
-    return std::chrono::duration_cast<core::duration>(
-        std::chrono::duration<double>(static_cast<double>(*seconds) * used_idle_share));
-}
-
-void append_field(std::string& out, std::string_view name, std::string_view value)
-{
-    out += name;
-    out += ": ";
-    out += value;
-    out += "\r\n";
-}
-
-std::string format_seconds(core::duration time)
-{
-    std::array<char, 32> text{};
-    std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(time).count());
-    return text.data();
-}
-
 } // namespace
 
 forwarded_request::forwarded_request(forwarder_context& context, std::shared_ptr<caller_exchange> exchange)
@@ -95,7 +50,7 @@
     facts.received = request.received;
     if (const auto object = request.cookie(context_.words.object_cookie); !object.empty())
         facts.object_hash = core::hash_text(object, core::hash_text(facts.host));
-    if (const auto limit = parse_number(request.field(context_.words.time_limit_field)))
+    if (const auto limit = net::parse_number(request.field(context_.words.time_limit_field)))
         facts.time_limit = core::milliseconds(*limit);
     return facts;
 }
@@ -105,7 +60,7 @@
     const auto self = shared_from_this();
     if (request_id_.empty()) {
         log_end("rejected", bad_request, "no request id", {});
-        const auto head = make_own_head(bad_request, "no_request_id");
+        const auto head = make_own_head(context_.words, request_id_, bad_request, "no_request_id");
         co_await exchange_->answer(head, {});
         co_return;
     }
@@ -215,7 +170,8 @@
 asio::awaitable<attempt_outcome> forwarded_request::exchange_with(const steering::backend_server& server)
 {
     const auto& request = exchange_->request();
-    const auto head = make_request_head(server);
+    const auto left = plan_.answer_by - context_.time.now();
+    const auto head = make_request_head(request, context_.words, left, server.record().id);
     const auto written = co_await connection_->write_message(head, request.body);
     if (written.error && written.bytes == 0)
         co_return timed_out_ ? attempt_outcome::timed_out : attempt_outcome::not_connected;
@@ -273,34 +229,6 @@
     co_return true;
 }
 
-std::string forwarded_request::make_request_head(const steering::backend_server& server) const
-{
-    const auto& request = exchange_->request();
-    const auto& words = context_.words;
-    const auto nominated = request.field("connection");
-    std::string head;
-    head.reserve(512);
-    head += request.method;
-    head += ' ';
-    head += request.target;
-    head += " HTTP/1.1\r\n";
-    for (const auto& field : request.fields) {
-        const bool own = is_same_field(field.name, words.time_limit_field) ||
-                         is_same_field(field.name, words.expected_server_field);
-        if (!own && !is_hop_by_hop(field.name, nominated))
-            append_field(head, field.name, field.value);
-    }
-    const auto left = std::chrono::duration_cast<core::milliseconds>(plan_.answer_by - context_.time.now());
-    append_field(head, words.time_limit_field,
-                 std::to_string(std::max<core::milliseconds::rep>(left.count(), 1)));
-    append_field(head, words.expected_server_field, server.record().id.str());
-    const bool has_length = !request.body.empty() || !request.field("content-length").empty();
-    if (has_length || request.method == "POST" || request.method == "PUT")
-        append_field(head, "Content-Length", std::to_string(request.body.size()));
-    head += "\r\n";
-    return head;
-}
-
 answer_facts forwarded_request::read_answer_facts() const
 {
     const auto& words = context_.words;
@@ -318,27 +246,12 @@
 void forwarded_request::read_load(steering::attempt_result& result) const
 {
     result.load = context_.words.parse_load(connection_->field(context_.words.load_field));
-    if (const auto cold = parse_number(connection_->field(context_.words.cold_left_field)))
+    if (const auto cold = net::parse_number(connection_->field(context_.words.cold_left_field)))
         result.cold_left = core::milliseconds(*cold);
     result.answer_kilobytes =
         static_cast<double>(connection_->content_length().value_or(answer_.body.size())) / bytes_per_kilobyte;
 }
 
-answer_head forwarded_request::make_answer_head() const
-{
-    answer_head head;
-    head.status = connection_->status();
-    head.reason = connection_->reason();
-    const std::string nominated(connection_->field("connection"));
-    connection_->visit_fields([&head, &nominated](std::string_view name, std::string_view value) {
-        if (!is_hop_by_hop(name, nominated))
-            append_field(head.fields, name, value);
-    });
-    if (exchange_->request().method == "HEAD")
-        head.stated_length = connection_->content_length().value_or(0);
-    return head;
-}
-
 void forwarded_request::release_connection()
 {
     if (!connection_)
@@ -354,7 +267,7 @@
 
 asio::awaitable<void> forwarded_request::deliver(steering::backend_server& server)
 {
-    const auto head = make_answer_head();
+    const auto head = make_answer_head(*connection_, exchange_->request().method);
     bool written = false;
     if (answer_.complete) {
         release_connection();
@@ -395,22 +308,11 @@
     co_return co_await exchange_->end_answer();
 }
 
-answer_head forwarded_request::make_own_head(unsigned status, std::string_view reason) const
-{
-    answer_head head;
-    head.status = status;
-    head.reason = "Not served";
-    if (!request_id_.empty())
-        append_field(head.fields, context_.words.request_id_field, request_id_);
-    append_field(head.fields, "Knapweed-Reason", reason);
-    return head;
-}
-
 asio::awaitable<void> forwarded_request::refuse(const steering::refuse_step& step)
 {
     context_.metrics.count(step.reason);
     const auto reason = core::name_of(step.reason);
-    auto head = make_own_head(status_of(step.reason), reason);
+    auto head = make_own_head(context_.words, request_id_, status_of(step.reason), reason);
     if (step.retry_after > core::duration::zero())
         append_field(head.fields, "Retry-After", format_seconds(step.retry_after));
     log_end("refused", head.status, reason, step.retry_after);
@@ -421,7 +323,7 @@
 {
     context_.metrics.count(step.reason);
     const auto reason = core::name_of(step.reason);
-    const auto head = make_own_head(status_of(step.reason), reason);
+    const auto head = make_own_head(context_.words, request_id_, status_of(step.reason), reason);
     log_end("failed", head.status, reason, {});
     co_await exchange_->answer(head, {});
 }
@@ -435,32 +337,7 @@
         line.add("reason", reason);
     if (retry_after > core::duration::zero())
         line.add_ms("retry_after_ms", retry_after);
-    if (plan_.matched != nullptr) {
-        line.add("route", plan_.matched->name)
-            .add("service", plan_.service.str())
-            .add("planned_region", plan_.region.str())
-            .add_ms("time_limit_ms", plan_.answer_by - plan_.received);
-    }
-    if (plan_.object_hash != 0)
-        line.add("object", plan_.object_hash);
-    if (plan_.policy)
-        line.add("configuration", plan_.policy->version);
-    line.add_ms("taken_ms", context_.time.now() - exchange_->request().received);
-    std::string attempts;
-    for (const auto& each : plan_.attempts) {
-        json_line attempt("attempt");
-        attempt.add("server", each.server.str()).add("occupancy", each.occupancy);
-        if (each.report_age)
-            attempt.add_ms("report_age_ms", *each.report_age);
-        attempt.add("familiar", each.familiar)
-            .add("home", each.home)
-            .add_ms("expected_wait_ms", each.expected_wait)
-            .add_ms("expected_ms", each.expected_time)
-            .add("outcome", core::name_of(each.outcome))
-            .add_ms("taken_ms", each.taken);
-        attempts += (attempts.empty() ? "" : ",") + attempt.str();
-    }
-    line.add_raw("attempts", "[" + attempts + "]");
+    add_plan(line, plan_, context_.time.now() - exchange_->request().received);
     context_.log.info(std::move(line));
 }
 
--- a/source/gateway/forwarded_request.h
+++ b/source/gateway/forwarded_request.h
@@ -49,18 +49,15 @@
     net::asio::awaitable<steering::attempt_outcome> exchange_with(const steering::backend_server& server);
     net::asio::awaitable<bool> read_own_head();
     net::asio::awaitable<bool> read_ahead_body();
-    [[nodiscard]] std::string make_request_head(const steering::backend_server& server) const;
     [[nodiscard]] answer_facts read_answer_facts() const;
     [[nodiscard]] steering::attempt_outcome outcome_without_answer() const;
     void read_load(steering::attempt_result& result) const;
 
     net::asio::awaitable<void> deliver(steering::backend_server& server);
     net::asio::awaitable<bool> stream_answer(const answer_head& head, steering::backend_server& server);
-    [[nodiscard]] answer_head make_answer_head() const;
     void release_connection();
     net::asio::awaitable<void> refuse(const steering::refuse_step& step);
     net::asio::awaitable<void> fail(const steering::fail_step& step);
-    [[nodiscard]] answer_head make_own_head(unsigned status, std::string_view reason) const;
     void log_end(std::string_view outcome, unsigned status, std::string_view reason,
                  core::duration retry_after);
 
--- /dev/null
+++ b/source/gateway/message_heads.cpp
@@ -0,0 +1,105 @@
+#include "gateway/message_heads.h"
+
+#include "gateway/answer_rules.h"
+#include "gateway/field_names.h"
+#include "net/parse_number.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace knapweed::gateway {
+
+namespace {
+
+/** A connection is not reused in the last part of the time for which its server keeps it. */
+constexpr double used_idle_share = 0.75;
+constexpr core::milliseconds idle_time_unstated{4000};
+
+} // namespace
+
+void append_field(std::string& out, std::string_view name, std::string_view value)
+{
+    out += name;
+    out += ": ";
+    out += value;
+    out += "\r\n";
+}
+
+std::string make_request_head(const caller_request& request, const dialect& words, core::duration time_left,
+                              const core::server_id& expected)
+{
+    const auto nominated = request.field("connection");
+    std::string head;
+    head.reserve(512);
+    head += request.method;
+    head += ' ';
+    head += request.target;
+    head += " HTTP/1.1\r\n";
+    for (const auto& field : request.fields) {
+        const bool own = is_same_field(field.name, words.time_limit_field) ||
+                         is_same_field(field.name, words.expected_server_field);
+        if (!own && !is_hop_by_hop(field.name, nominated))
+            append_field(head, field.name, field.value);
+    }
+    const auto left = std::chrono::duration_cast<core::milliseconds>(time_left);
+    append_field(head, words.time_limit_field,
+                 std::to_string(std::max<core::milliseconds::rep>(left.count(), 1)));
+    append_field(head, words.expected_server_field, expected.str());
+    const bool has_length = !request.body.empty() || !request.field("content-length").empty();
+    if (has_length || request.method == "POST" || request.method == "PUT")
+        append_field(head, "Content-Length", std::to_string(request.body.size()));
+    head += "\r\n";
+    return head;
+}
+
+answer_head make_answer_head(const net::client_connection& connection, std::string_view method)
+{
+    answer_head head;
+    head.status = connection.status();
+    head.reason = connection.reason();
+    const std::string nominated(connection.field("connection"));
+    connection.visit_fields([&head, &nominated](std::string_view name, std::string_view value) {
+        if (!is_hop_by_hop(name, nominated))
+            append_field(head.fields, name, value);
+    });
+    if (method == "HEAD")
+        head.stated_length = connection.content_length().value_or(0);
+    return head;
+}
+
+answer_head make_own_head(const dialect& words, std::string_view request_id, unsigned status,
+                          std::string_view reason)
+{
+    answer_head head;
+    head.status = status;
+    head.reason = "Not served";
+    if (!request_id.empty())
+        append_field(head.fields, words.request_id_field, request_id);
+    append_field(head.fields, "Knapweed-Reason", reason);
+    return head;
+}
+
+std::string format_seconds(core::duration time)
+{
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(time).count());
+    return text.data();
+}
+
+core::duration usable_idle_time(std::string_view keep_alive)
+{
+    constexpr std::string_view parameter = "timeout=";
+    const auto at = keep_alive.find(parameter);
+    if (at == std::string_view::npos)
+        return idle_time_unstated;
+    auto digits = keep_alive.substr(at + parameter.size());
+    digits = digits.substr(0, digits.find_first_not_of("0123456789"));
+    const auto seconds = net::parse_number(digits);
+    if (!seconds)
+        return idle_time_unstated;
+    return std::chrono::duration_cast<core::duration>(
+        std::chrono::duration<double>(static_cast<double>(*seconds) * used_idle_share));
+}
+
+} // namespace knapweed::gateway
--- a/tests/gateway/parts_test.cpp
+++ b/tests/gateway/parts_test.cpp
@@ -48,6 +48,7 @@
     REQUIRE(is_hop_by_hop("Transfer-Encoding", ""));
     REQUIRE(is_hop_by_hop("x-hop", "close, X-Hop"));
     REQUIRE_FALSE(is_hop_by_hop("X-Ho", "close, X-Hop"));
+    REQUIRE(is_hop_by_hop("X-Hop", "My-X-Hop, X-Hop"));
     REQUIRE_FALSE(is_hop_by_hop("Cookie", "close"));
 }
 
