Look up a service's policy in one place; drop an unused function

service_policy_of replaces three look-ups in the steerer. A reader's own weight is hashed once for all peers. peer_table::unregistered was never called. The comment on told loads gave the old interval.

--- a/source/steering/occupancy_estimate.cpp
+++ b/source/steering/occupancy_estimate.cpp
@@ -9,7 +9,8 @@
 
 /** Time constant of the decay of a report: about the time in which a server ends what it was running. */
 constexpr std::chrono::duration<double> report_decay{0.25};
-/** What the other instances told is used for this time; they tell it again every 120 ms at least. */
+/** What the other instances told is used for this time. While any of them is heard it is renewed every 100
+ * ms. */
 constexpr core::milliseconds told_valid_for{500};
 /** Weight of a new report in the mean of the reports. */
 constexpr double mean_weight = 0.1;
--- a/source/steering/peer_table.cpp
+++ b/source/steering/peer_table.cpp
@@ -37,11 +37,6 @@
         known.status = status;
 }
 
-void peer_table::unregistered(const core::instance_id& instance)
-{
-    peers_.erase(instance);
-}
-
 bool peer_table::is_live(const peer& each, core::duration heard_within) const
 {
     return each.heard_at && time_.now() - *each.heard_at < heard_within;
--- a/source/steering/peer_table.h
+++ b/source/steering/peer_table.h
@@ -40,7 +40,6 @@
     void heard(const instance_status& status);
     /** Learns of an instance from the registry, without a sign that it lives. */
     void registered(const instance_status& status);
-    void unregistered(const core::instance_id& instance);
 
     /** Calls @p visitor with the latest status of each known instance, and whether it was heard lately. */
     void visit(const std::function<void(const instance_status&, bool live)>& visitor) const;
--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -70,6 +70,13 @@
 /** Weight of an answer's size in the expected size of its route's answers. */
 constexpr double size_weight = 0.1;
 
+/** @returns the policy of the plan's service, null when the configuration has none. */
+const service_policy* service_policy_of(const request_plan& plan)
+{
+    const auto found = plan.policy->services.find(plan.service);
+    return found == plan.policy->services.end() ? nullptr : &found->second;
+}
+
 core::rank rank_of(const route& matched)
 {
     return core::all_ranks.at(std::min<std::size_t>(matched.urgency, core::number_of_ranks - 1));
@@ -158,9 +165,8 @@
     request.unfamiliar_run_time = state.unfamiliar_run_time();
     if (const auto found = answer_kilobytes_.find(plan.matched->name); found != answer_kilobytes_.end())
         request.answer_kilobytes = found->second;
-    double cold_rate = 0;
-    if (const auto found = plan.policy->services.find(plan.service); found != plan.policy->services.end())
-        cold_rate = found->second.cold_requests_per_second;
+    const auto* service = service_policy_of(plan);
+    const double cold_rate = service == nullptr ? 0 : service->cold_requests_per_second;
     const auto senders = most_cold_senders(cold_rate, options_.cold_multiplier, options_.cold_slack);
     request.cold_spacing = cold_start_spacing(cold_rate, std::min(peers_.known() + 1, senders));
     request.may_warm = [this, senders](const backend_server& server) {
@@ -225,10 +231,10 @@
 /** An equal share of what the server accepts from all instances together. */
 std::size_t steerer::most_connections(const request_plan& plan) const
 {
-    const auto found = plan.policy->services.find(plan.service);
-    if (found == plan.policy->services.end() || found->second.max_connections == 0)
+    const auto* service = service_policy_of(plan);
+    if (service == nullptr || service->max_connections == 0)
         return most_connections_to_a_server;
-    const std::size_t share = found->second.max_connections / (peers_.known() + 1);
+    const std::size_t share = service->max_connections / (peers_.known() + 1);
     return std::clamp<std::size_t>(share, 1, most_connections_to_a_server);
 }
 
@@ -301,8 +307,8 @@
     }
     case attempt_outcome::not_connected:
         server.failures().unreachable();
-        if (const auto found = plan.policy->services.find(plan.service); found != plan.policy->services.end())
-            server.cold().assume_cold(found->second.cold_time); // it may be restarting
+        if (const auto* service = service_policy_of(plan))
+            server.cold().assume_cold(service->cold_time); // it may be restarting
         return retry(plan, core::retry_reason::not_sent, true);
     case attempt_outcome::not_run:
         if (!result.load || result.load->running < server.slots())
--- a/source/steering/store_duty.cpp
+++ b/source/steering/store_duty.cpp
@@ -31,10 +31,10 @@
 {
     if (leaving_)
         return false;
+    const auto own = reader_weight(own_);
     std::size_t ahead = 0;
-    peers_.visit_live(peer_table::live_for, [this, &ahead](const instance_status& status) {
-        const auto weight = reader_weight(status.instance);
-        if (status.at.region == region_ && !status.leaving && weight < reader_weight(own_))
+    peers_.visit_live(peer_table::live_for, [&](const instance_status& status) {
+        if (status.at.region == region_ && !status.leaving && reader_weight(status.instance) < own)
             ++ahead;
     });
     return ahead < readers_in_a_region;
