Bound what is read of messages in bytes and in time

Answers of servers and of the store go through the same parser. Further endless inputs: interim answers, the body of an answer to another request, and a delivered answer without a length, which no time limit ended. Change: buffers of connections are limited to a head and 64 KiB; framing may exceed the body only in proportion; interim answers, skipped answers and answers without a length are limited; after the time limit of the request, a delivered answer ends when its server is silent for 2 s. knapweedd's session has the same limits. Left: a limit on time alone, which lets a fast sender fill the memory within it.

--- a/source/gateway/caller_session.cpp
+++ b/source/gateway/caller_session.cpp
@@ -1,5 +1,8 @@
 #include "gateway/caller_session.h"
 
+#include "net/message_limits.h"
+
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -140,6 +143,7 @@
     const auto limits = context_->limits();
     phase_ = read_phase::reading_head;
     phase_began_ = received;
+    buffer.max_size(std::max<std::size_t>(buffer.size(), limits.header_bytes + net::max_unparsed_bytes));
     http::request_parser<http::string_body> parser;
     parser.header_limit(limits.header_bytes);
     parser.body_limit(limits.body_bytes);
@@ -151,10 +155,14 @@
         if (!co_await write("HTTP/1.1 100 Continue\r\n\r\n", {}))
             co_return nullptr;
     }
-    if (!error && !parser.is_done()) {
-        phase_ = read_phase::reading_body;
-        auto [body_error, body_bytes] = co_await http::async_read(socket, buffer, parser, as_result);
+    phase_ = read_phase::reading_body;
+    std::uint64_t received_bytes = 0;
+    while (!error && !parser.is_done()) {
+        auto [body_error, bytes] = co_await http::async_read_some(socket, buffer, parser, as_result);
         error = body_error;
+        received_bytes += bytes;
+        if (!error && net::has_excessive_framing(received_bytes, message.body().size()))
+            error = http::error::buffer_overflow;
     }
     phase_ = read_phase::idle;
     phase_began_ = context_->time.now();
--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -21,6 +21,14 @@
 constexpr std::size_t stream_buffer_bytes = 16384;
 /** Answers to earlier requests that are skipped on one connection before the attempt fails. */
 constexpr int max_stale_answers = 2;
+constexpr std::size_t max_stale_answer_bytes = 1U << 20U;
+/** Interim answers (1xx) that may precede the answer. */
+constexpr int max_interim_answers = 4;
+/** Limit of an answer that states no length. A faulty server can send one without end. */
+constexpr std::size_t max_undeclared_answer_bytes = 64U << 20U;
+/** After the request's time limit, an answer that is being delivered ends when its server sends nothing for
+   this time. */
+constexpr core::milliseconds max_late_silence{2000};
 /** Time limit for opening a connection: this many round trips, and an allowance for delays at the server. */
 constexpr int connect_round_trips = 2;
 constexpr core::milliseconds server_allowance{60};
@@ -112,6 +120,19 @@
     });
 }
 
+/** Closes the server's connection if nothing of the answer arrives for a time after the request's time limit.
+ */
+void forwarded_request::arm_silence_timer()
+{
+    timer_.expires_after(
+        std::max<core::duration>(plan_.answer_by - context_.time.now(), core::duration::zero()) +
+        max_late_silence);
+    timer_.async_wait([weak = weak_from_this()](net::error_code error) {
+        if (const auto request = weak.lock(); request && !error)
+            request->abort_attempt();
+    });
+}
+
 /** Ends the attempt in progress. The server detects that its connection is closed and stops processing the
    request. */
 void forwarded_request::abort_attempt()
@@ -194,29 +215,42 @@
 asio::awaitable<bool> forwarded_request::read_matching_head()
 {
     constexpr unsigned first_final_status = 200;
-    for (int stale_answers = 0; stale_answers <= max_stale_answers;) {
+    int interim_answers = 0;
+    int stale_answers = 0;
+    while (interim_answers <= max_interim_answers && stale_answers <= max_stale_answers) {
         if (co_await connection_->read_head())
             co_return false;
         if (connection_->status() < first_final_status) {
-            connection_->expect_next_answer();
-            continue;
+            ++interim_answers;
         }
-        if (!is_for_another_request(extract_answer_facts()))
-            co_return true;
-        // A late answer to an earlier request on this connection; the answer to this request may follow.
-        must_discard_connection_ = true;
-        ++stale_answers;
-        std::array<char, 2048> skipped{};
-        while (!connection_->complete()) {
-            const auto read = co_await connection_->read_some(skipped);
-            if (read.error)
+        else if (is_for_another_request(extract_answer_facts())) {
+            // A late answer to an earlier request on this connection; the answer to this request may follow.
+            must_discard_connection_ = true;
+            ++stale_answers;
+            if (!co_await skip_body())
                 co_return false;
         }
+        else {
+            co_return true;
+        }
         connection_->expect_next_answer();
     }
     co_return false;
 }
 
+asio::awaitable<bool> forwarded_request::skip_body()
+{
+    std::array<char, 2048> skipped{};
+    std::size_t skipped_bytes = 0;
+    while (!connection_->complete()) {
+        const auto read = co_await connection_->read_some(skipped);
+        skipped_bytes += read.bytes;
+        if (read.error || skipped_bytes > max_stale_answer_bytes)
+            co_return false;
+    }
+    co_return true;
+}
+
 asio::awaitable<bool> forwarded_request::buffer_body()
 {
     std::array<char, 4096> buffer{};
@@ -293,9 +327,12 @@
     if (written)
         written = co_await exchange_->write_body(buffered_answer_.body);
     std::vector<char> buffer(stream_buffer_bytes);
+    std::size_t streamed_bytes = 0;
     while (written && !connection_->complete()) {
+        arm_silence_timer();
         const auto read = co_await connection_->read_some(buffer);
-        if (read.error) {
+        streamed_bytes += read.bytes;
+        if (read.error || (!length && streamed_bytes > max_undeclared_answer_bytes)) {
             context_.metrics.add(net::counter::answers_truncated);
             if (!exchange_->caller_disconnected())
                 context_.steerer.answer_broke_off(server);
--- a/source/gateway/forwarded_request.h
+++ b/source/gateway/forwarded_request.h
@@ -47,6 +47,7 @@
 
     [[nodiscard]] steering::request_facts extract_request_facts() const;
     void arm_timer();
+    void arm_silence_timer();
     void abort_attempt();
 
     net::asio::awaitable<steering::attempt_result> try_server(const steering::send_step& step);
@@ -55,6 +56,9 @@
     /** Reads the head of the answer to this request and skips answers to earlier ones.
         @returns false when the connection failed or too many answers were skipped. */
     net::asio::awaitable<bool> read_matching_head();
+    /** Reads the body of an answer to another request. @returns false when the connection failed or the body
+       is too long. */
+    net::asio::awaitable<bool> skip_body();
     /** Reads the beginning of the body. @returns false when the connection failed. */
     net::asio::awaitable<bool> buffer_body();
     [[nodiscard]] answer_facts extract_answer_facts() const;
--- a/source/net/client_connection.cpp
+++ b/source/net/client_connection.cpp
@@ -1,5 +1,7 @@
 #include "net/client_connection.h"
 
+#include "net/message_limits.h"
+
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -30,11 +32,15 @@
         parser.emplace();
         parser->header_limit(answer_header_limit_bytes);
         parser->body_limit(boost::none);
+        received_after_head = 0;
+        body_bytes = 0;
     }
 
     tcp::socket socket;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{answer_header_limit_bytes + max_unparsed_bytes};
     std::optional<http::response_parser<http::buffer_body>> parser;
+    std::uint64_t received_after_head = 0; ///< bytes of the current answer
+    std::uint64_t body_bytes = 0;          ///< bytes of the body among them
 };
 
 client_connection::client_connection(const asio::any_io_executor& executor, std::string address,
@@ -153,10 +159,16 @@
     while (!parser.is_done() && body.size == buffer.size()) {
         auto [error, bytes] =
             co_await http::async_read_some(state_->socket, state_->buffer, parser, as_result);
+        state_->received_after_head += bytes;
+        const auto read = buffer.size() - body.size;
         if (error && error != http::error::need_buffer)
-            co_return transfer_result{error, buffer.size() - body.size};
+            co_return transfer_result{error, read};
+        if (has_excessive_framing(state_->received_after_head, state_->body_bytes + read))
+            co_return transfer_result{http::error::buffer_overflow, read};
     }
-    co_return transfer_result{{}, buffer.size() - body.size};
+    const auto read = buffer.size() - body.size;
+    state_->body_bytes += read;
+    co_return transfer_result{{}, read};
 }
 
 bool client_connection::reusable() const
--- a/source/net/client_connection.h
+++ b/source/net/client_connection.h
@@ -70,7 +70,7 @@
         answer after an interim one. */
     void expect_next_answer();
 
-    /** Reads the head of the answer. */
+    /** Reads the head of the answer. A head that exceeds the size limit gives an error. */
     asio::awaitable<error_code> read_head();
 
     [[nodiscard]] unsigned status() const;
@@ -87,7 +87,7 @@
     [[nodiscard]] bool complete() const;
 
     /** Reads at least one byte of the body unless the answer is complete. Any error means that the body is
-        truncated. */
+        truncated, or that its framing is out of proportion to it. */
     asio::awaitable<transfer_result> read_some(std::span<char> buffer);
 
     /** @returns whether another request may follow on this connection. */
--- a/source/net/http_session.cpp
+++ b/source/net/http_session.cpp
@@ -1,5 +1,8 @@
 #include "net/http_session.h"
 
+#include "net/message_limits.h"
+
+#include <algorithm>
 #include <boost/beast/http.hpp>
 #include <sys/socket.h>
 
@@ -124,6 +127,8 @@
 {
     whole_request_read_ = false;
     auto& parser = request.parser;
+    buffer_.max_size(
+        std::max<std::size_t>(buffer_.size(), context_->limits.header_bytes + max_unparsed_bytes));
     parser.header_limit(context_->limits.header_bytes);
     parser.body_limit(rpc_body_limit_bytes);
     stream_.expires_after(context_->limits.idle_time);
@@ -141,10 +146,14 @@
         auto [write_error, written] = co_await http::async_write(stream_, continue_response, as_result);
         error = write_error;
     }
+    std::uint64_t received_bytes = 0;
     while (!error && !parser.is_done()) {
         stream_.expires_after(context_->limits.idle_time);
         auto [read_error, read] = co_await http::async_read_some(stream_, buffer_, parser, as_result);
         error = read_error;
+        received_bytes += read;
+        if (!error && has_excessive_framing(received_bytes, parser.get().body().size()))
+            error = http::error::buffer_overflow;
     }
     whole_request_read_ = !error;
     if (!error && parser.get().version() == 11)
--- a/tests/gateway/forwarding_fixture.cpp
+++ b/tests/gateway/forwarding_fixture.cpp
@@ -95,6 +95,12 @@
     return sum;
 }
 
+double forwarding_fixture::failure_share_of(std::size_t index) const
+{
+    const auto server = context_.steerer.servers().find(core::server_id{"s" + std::to_string(index)});
+    return server->failures().failure_share();
+}
+
 std::string make_request(const std::string& id, const std::string& method, const std::string& fields,
                          const std::string& body)
 {
--- a/tests/gateway/forwarding_fixture.h
+++ b/tests/gateway/forwarding_fixture.h
@@ -44,6 +44,9 @@
     [[nodiscard]] std::uint16_t port() const { return listener_.port(); }
     [[nodiscard]] upstream_fake& server(std::size_t index) { return *servers_.at(index); }
     [[nodiscard]] std::size_t requests_at_servers() const;
+    /** @returns the gateway's estimate of the share of failures of a server; call it on the gateway's thread.
+     */
+    [[nodiscard]] double failure_share_of(std::size_t index) const;
     /** Runs @p action on the gateway's thread, which is blocked until it returns. */
     void run_on_gateway_thread(const std::function<void()>& action);
 
--- a/tests/net/upstream_fake.cpp
+++ b/tests/net/upstream_fake.cpp
@@ -109,6 +109,8 @@
         }
         const auto reply = script_(request);
         asio::write(socket, asio::buffer(reply.bytes), error);
+        while (!reply.endless.empty() && !error && !stopped_)
+            asio::write(socket, asio::buffer(reply.endless), error);
         if (reply.hang)
             continue;
         if (reply.close)
@@ -148,6 +150,22 @@
     return text;
 }
 
+std::size_t test_client::count_bytes(std::size_t limit)
+{
+    std::vector<char> buffer(1U << 16U);
+    std::size_t total = 0;
+    boost::system::error_code error;
+    while (!error && total < limit)
+        total += socket_.read_some(asio::buffer(buffer), error);
+    return total;
+}
+
+void test_client::finish_sending()
+{
+    boost::system::error_code ignored; // the server may have closed already
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 void test_client::close()
 {
     socket_.close();
--- a/tests/net/upstream_fake.h
+++ b/tests/net/upstream_fake.h
@@ -13,8 +13,9 @@
 /** The reaction of a fake upstream to one request. */
 struct scripted_reply {
     std::string bytes;
-    bool close = false; ///< close the connection after the bytes
-    bool hang = false;  ///< send the bytes and answer nothing more until the other side closes
+    bool close = false;       ///< close the connection after the bytes
+    bool hang = false;        ///< send the bytes and answer nothing more until the other side closes
+    std::string endless = {}; ///< sent again and again after the bytes until the other side closes
 };
 
 /** A server on loopback that answers each request with raw bytes that a function returns. */
@@ -66,6 +67,11 @@
     [[nodiscard]] std::string read_answer();
     /** @returns all data up to the end of the connection. */
     [[nodiscard]] std::string read_to_end();
+    /** Reads until the end of the connection or at least @p limit bytes. @returns the number of bytes read.
+     */
+    [[nodiscard]] std::size_t count_bytes(std::size_t limit);
+    /** Shuts down the sending side: the other side reads the end of the connection after all data. */
+    void finish_sending();
     void close();
 
 private:
