Take a not-run answer without an id only on a new connection

Cause: a server's late second copy of a refusal without a request id, on a connection in use again, was taken as proof that the next request had not run; a request that may run once could then be sent to a second server. Answers with an id are matched by it as before.

--- a/source/gateway/answer_rules.h
+++ b/source/gateway/answer_rules.h
@@ -13,6 +13,7 @@
     bool marked_not_run = false;  ///< the server states that it did not run the request
     bool encoded = false; ///< it has a Content-Encoding, so an intermediary changed the body: requests ask
                           ///< for no encoding
+    bool on_reused_connection = false; ///< a late answer to an earlier request may arrive on it
 };
 
 /** @returns whether the answer belongs to an earlier request on the connection, so that the answer to the
@@ -20,7 +21,9 @@
 [[nodiscard]] bool is_for_another_request(const answer_facts& answer);
 
 /** Classifies an answer. Only an answer with the server's signature may be passed on to the caller; only a
-   server's not-run field without a signature proves that the server did not run the request. */
+   server's not-run field without a signature proves that the server did not run the request. Without a
+   request id, such an answer proves it only on a new connection, where no answer to an earlier request can
+   arrive. */
 [[nodiscard]] steering::attempt_outcome classify_answer(const answer_facts& answer);
 
 /** @returns the HTTP status of a refusal: 503 or 404, which guarantee that the request was not run. */
--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -272,6 +272,7 @@
     facts.status = connection_->status();
     facts.has_request_id = !id.empty();
     facts.matches_request = id == request_id_;
+    facts.on_reused_connection = connection_->reused();
     facts.has_signature = !connection_->field(dialect.signature_field).empty();
     facts.marked_not_run = !connection_->field(dialect.not_run_field).empty();
     facts.encoded = !connection_->field("content-encoding").empty();
--- a/tests/gateway/forwarding_test.cpp
+++ b/tests/gateway/forwarding_test.cpp
@@ -76,6 +76,24 @@
     REQUIRE(client.read_answer().ends_with("yours"));
 }
 
+// Guards against the late copy of an earlier "not run" answer that is taken for the answer to a request that
+// runs.
+TEST_CASE("a not-run answer without a request id proves nothing on a connection that was used before")
+{
+    std::atomic<int> requests = 0;
+    const auto refuse_late = [&requests](const std::string& request) {
+        if (requests++ == 0)
+            return answer_normally(request);
+        return scripted_reply{make_reply("503 Full", "X-Not-Run: 1\r\n", "")};
+    };
+    forwarding_fixture fixture({refuse_late}, false);
+    test_client client(fixture.port());
+    client.send(make_request("1", "POST"));
+    REQUIRE(client.read_answer().starts_with("HTTP/1.1 200"));
+    client.send(make_request("2", "POST"));
+    REQUIRE(client.read_answer().starts_with("HTTP/1.1 502"));
+}
+
 // Guards against a request that runs twice, and against "not run" for a request that may have run.
 TEST_CASE("a lost connection gives an unknown outcome for a request that is not idempotent")
 {
