Answer what has arrived before a planned stop closes connections

Cause: at a planned stop the listening socket was closed with connections in its queue, which resets them with the requests already sent on them; an accepted connection whose request had arrived but was not read yet was shut down, and the request was dropped. A caller that doesn't read its answer kept its connection for good. An exception that left a coroutine ended the process with all other requests. Change: established connections are accepted before the listener closes; a connection is closed as idle only when its read was cancelled without a byte and none is waiting; a write without progress ends after the idle timeout.

--- a/source/gateway/caller_listener.cpp
+++ b/source/gateway/caller_listener.cpp
@@ -26,7 +26,8 @@
 {
     const auto error = net::open_listener(acceptor_, address);
     if (!error)
-        asio::co_spawn(executor_, accept(), asio::detached);
+        asio::co_spawn(executor_, net::run_lasting([this] { return accept(); }, context_->on_error),
+                       asio::detached);
     return error;
 }
 
@@ -47,14 +48,36 @@
             co_await pause.async_wait(net::as_result);
             continue;
         }
-        if (context_->sessions >= max_sessions_) {
-            context_->counters.add(net::counter::connections_refused);
-            continue; // closes the socket
-        }
-        context_->counters.add(net::counter::connections_accepted);
-        const auto session = std::make_shared<caller_session>(std::move(socket), context_);
-        sessions_.push_back(session);
-        asio::co_spawn(executor_, session->run(), asio::detached);
+        start_session(std::move(socket));
+    }
+}
+
+void caller_listener::start_session(net::tcp::socket socket)
+{
+    if (context_->sessions >= max_sessions_) {
+        context_->counters.add(net::counter::connections_refused);
+        return; // closes the socket
+    }
+    context_->counters.add(net::counter::connections_accepted);
+    const auto session = std::make_shared<caller_session>(std::move(socket), context_);
+    sessions_.push_back(session);
+    asio::co_spawn(executor_, session->run(), [session](const std::exception_ptr& error) {
+        if (error)
+            session->fail(error);
+    });
+}
+
+/** Accepts the connections that the system has established but that no accept has returned yet. Closing the
+   listening socket would reset them, with the requests that their callers have already sent. */
+void caller_listener::accept_established()
+{
+    net::error_code error;
+    acceptor_.non_blocking(true, error);
+    while (!error) {
+        net::tcp::socket socket(executor_);
+        acceptor_.accept(socket, error);
+        if (!error)
+            start_session(std::move(socket));
     }
 }
 
@@ -71,7 +94,14 @@
 void caller_listener::stop_accepting()
 {
     net::error_code ignored;
+    acceptor_.cancel(ignored);
+    accept_established();
     acceptor_.close(ignored);
+    close_idle_sessions();
+}
+
+void caller_listener::close_idle_sessions()
+{
     for (const auto& weak_session : sessions_) {
         if (const auto session = weak_session.lock())
             session->close_if_idle();
--- a/source/gateway/caller_listener.h
+++ b/source/gateway/caller_listener.h
@@ -20,13 +20,18 @@
     /** Begins a graceful shutdown: answers close their connections, but new connections are still accepted.
      */
     void leave() { context_->leaving = true; }
-    /** Stops accepting connections and ends those on which no request is in progress. */
+    /** Stops accepting connections, after those that are already established, and ends those on which no
+       request is in progress or has arrived. */
     void stop_accepting();
+    /** Ends the connections on which no request is in progress or has arrived. */
+    void close_idle_sessions();
 
     [[nodiscard]] std::size_t sessions() const noexcept { return context_->sessions; }
 
 private:
     net::asio::awaitable<void> accept();
+    void start_session(net::tcp::socket socket);
+    void accept_established();
 
     net::asio::any_io_executor executor_;
     std::shared_ptr<session_context> context_;
--- a/source/gateway/caller_session.cpp
+++ b/source/gateway/caller_session.cpp
@@ -131,8 +131,15 @@
     auto& [socket, buffer] = *stream_;
     phase_ = read_phase::idle;
     phase_began_ = context_->time.now();
-    if (buffer.size() == 0) {
+    while (buffer.size() == 0) {
         auto [error, bytes] = co_await socket.async_read_some(buffer.prepare(initial_read_bytes), as_result);
+        const bool to_close = std::exchange(close_when_idle_, false) && exchanges_.empty();
+        if (error == asio::error::operation_aborted && to_close && !closed_) {
+            if (peek() > 0)
+                continue; // a request has arrived meanwhile
+            shut_down_sending();
+            co_return nullptr;
+        }
         if (error) {
             close();
             co_return nullptr;
@@ -193,7 +200,11 @@
 void caller_session::start(std::shared_ptr<caller_exchange> exchange, const session_context::handler& handle)
 {
     exchanges_.push_back(exchange);
-    asio::co_spawn(executor(), handle(std::move(exchange)), asio::detached);
+    asio::co_spawn(executor(), handle(std::move(exchange)),
+                   [session = shared_from_this()](const std::exception_ptr& error) {
+                       if (error)
+                           session->fail(error);
+                   });
 }
 
 void caller_session::reject(unsigned status, std::string_view reason)
@@ -236,7 +247,9 @@
         co_return false;
     const std::array<asio::const_buffer, 2> parts{asio::buffer(head.data(), head.size()),
                                                   asio::buffer(body.data(), body.size())};
+    write_began_ = context_->time.now();
     auto [error, bytes] = co_await asio::async_write(stream_->socket, parts, as_result);
+    write_began_.reset();
     context_->counters.add(net::counter::bytes_to_callers, bytes);
     if (error)
         close();
@@ -276,8 +289,13 @@
 {
     if (closed_)
         return;
-    const auto elapsed = context_->time.now() - phase_began_;
+    const auto now = context_->time.now();
+    const auto elapsed = now - phase_began_;
     const auto limits = context_->limits();
+    if (write_began_ && now - *write_began_ >= limits.idle_timeout) {
+        close(); // the caller doesn't read its answer
+        return;
+    }
     if (sending_shut_down_) {
         if (elapsed >= linger_time)
             close();
@@ -292,7 +310,8 @@
     case read_phase::reading_body:
         if (elapsed >= (phase_ == read_phase::reading_head ? limits.header_timeout : limits.idle_timeout)) {
             timed_out_ = true;
-            stream_->socket.cancel();
+            net::error_code ignored;
+            stream_->socket.cancel(ignored);
         }
         break;
     case read_phase::discarding:
@@ -302,17 +321,35 @@
 
 void caller_session::close_if_idle()
 {
-    if (!closed_ && !sending_shut_down_ && phase_ == read_phase::idle && exchanges_.empty())
-        shut_down_sending();
+    if (closed_ || sending_shut_down_ || phase_ != read_phase::idle || !exchanges_.empty())
+        return;
+    // The read may have received a request already although its coroutine has not resumed yet; then it ends
+    // without an error and the request is answered.
+    close_when_idle_ = true;
+    net::error_code ignored;
+    stream_->socket.cancel(ignored);
 }
 
 void caller_session::detect_disconnect()
 {
-    char byte = 0;
-    if (!closed_ && ::recv(stream_->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0)
+    if (!closed_ && peek() == 0)
         close();
 }
 
+/** @returns 1 when a received byte can be read, 0 when the caller has closed the connection, and -1
+ * otherwise. */
+int caller_session::peek()
+{
+    char byte = 0;
+    return static_cast<int>(::recv(stream_->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT));
+}
+
+void caller_session::fail(const std::exception_ptr& error)
+{
+    context_->on_error(net::describe(error));
+    close();
+}
+
 void caller_session::close()
 {
     if (std::exchange(closed_, true))
--- a/source/gateway/caller_session.h
+++ b/source/gateway/caller_session.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/caller_exchange.h"
+#include "net/lasting_task.h"
 #include "net/metrics.h"
 #include "steering/traffic_policy.h"
 
@@ -16,6 +17,7 @@
     net::counter_sink& counters;
     std::function<steering::caller_limits()> limits; ///< returns the limits currently in force
     handler handle;                                  ///< answers each request
+    net::error_hook on_error; ///< called with each unexpected error, which ends only its connection
     bool leaving = false;     ///< a graceful shutdown has begun: answers close their connections
     std::size_t sessions = 0; ///< open connections
 };
@@ -39,12 +41,14 @@
     /** Ends the connection when a time limit of reading or of idleness has passed; to be called several times
         a second. */
     void check_timeouts();
-    /** Ends the connection if no request is being read or answered. */
+    /** Ends the connection if no request is being read or answered and no byte of one has arrived. */
     void close_if_idle();
     /** Closes the connection if its caller has closed it. */
     void detect_disconnect();
     /** Closes the connection at once and marks all open exchanges as disconnected. */
     void close();
+    /** Closes the connection because of an unexpected error, and reports it. */
+    void fail(const std::exception_ptr& error);
 
     [[nodiscard]] net::asio::any_io_executor executor();
 
@@ -65,6 +69,7 @@
     void reject(unsigned status, std::string_view reason);
     void start(std::shared_ptr<caller_exchange> exchange, const session_context::handler& handle);
     void shut_down_sending();
+    [[nodiscard]] int peek();
 
     std::shared_ptr<session_context> context_;
     std::unique_ptr<stream> stream_;
@@ -72,7 +77,9 @@
     std::optional<net::asio::steady_timer> slot_signal_;     ///< cancelled when another request may be read
     read_phase phase_ = read_phase::idle;
     core::time_point phase_began_;
-    bool timed_out_ = false; ///< reading a request took too long
+    std::optional<core::time_point> write_began_; ///< when the write in progress began
+    bool close_when_idle_ = false; ///< the read was cancelled to close the connection if it is idle
+    bool timed_out_ = false;       ///< reading a request took too long
     bool sending_shut_down_ = false;
     bool closed_ = false;
 };
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -89,7 +89,9 @@
       metrics_listener_(io_.get_executor(),
                         make_context([this](auto exchange) { return answer_metrics(std::move(exchange)); }),
                         max_auxiliary_sessions),
-      peers_(io_.get_executor(), [this](const peer_message& message) { receive(message); }),
+      peers_(
+          io_.get_executor(), [this](const peer_message& message) { receive(message); },
+          [this](std::string_view error) { report_error(error); }),
       incarnation_(make_incarnation()), settings_modified_(modification_time(settings_file_))
 {
     steerer_.servers().set_regions(settings_.data_centres);
@@ -105,7 +107,8 @@
         return policy == nullptr ? steering::caller_limits{} : policy->limits;
     };
     return std::make_shared<session_context>(
-        session_context{time_, metrics_, std::move(limits), std::move(handle)});
+        session_context{time_, metrics_, std::move(limits), std::move(handle),
+                        [this](std::string_view error) { report_error(error); }});
 }
 
 std::string gateway::listen()
@@ -140,13 +143,25 @@
                   .add("callers", settings_.caller_address)
                   .add("store", settings_.store_address));
     wait_for_signal();
-    asio::co_spawn(io_, run_ticks(), asio::detached);
-    asio::co_spawn(io_, send_load_periodically(), asio::detached);
+    start_lasting([this] { return run_ticks(); });
+    start_lasting([this] { return send_load_periodically(); });
     io_.run();
     log_.info(json_line("stopped").add("requests_in_progress", forwarder_.in_progress));
     log_.flush();
 }
 
+void gateway::start_lasting(std::function<asio::awaitable<void>()> task)
+{
+    auto on_error = [this](std::string_view error) { report_error(error); };
+    asio::co_spawn(io_, net::run_lasting(std::move(task), std::move(on_error)), asio::detached);
+}
+
+void gateway::report_error(std::string_view error)
+{
+    metrics_.add(net::counter::unexpected_errors);
+    log_.warn(json_line("unexpected_error").add("error", error));
+}
+
 void gateway::wait_for_signal()
 {
     signals_.async_wait([this](net::error_code error, int signal) {
@@ -359,7 +374,7 @@
     send_status();
     if (on_leaving_)
         on_leaving_();
-    asio::co_spawn(io_, complete_shutdown(), asio::detached);
+    start_lasting([this] { return complete_shutdown(); });
 }
 
 /** Accepts connections for most of the grace period, for callers that still hold this instance's address from
@@ -371,6 +386,7 @@
     co_await timer.async_wait(net::as_result);
     callers_.stop_accepting();
     while (time_.now() < exit_time && (forwarder_.in_progress > 0 || callers_.sessions() > 0)) {
+        callers_.close_idle_sessions();
         timer.expires_after(shutdown_poll_interval);
         co_await timer.async_wait(net::as_result);
     }
--- a/source/gateway/gateway.h
+++ b/source/gateway/gateway.h
@@ -63,6 +63,9 @@
     /** Begins a graceful shutdown. */
     void leave();
 
+    /** Runs a coroutine that is needed as long as the process runs. @see net::run_lasting */
+    void start_lasting(std::function<net::asio::awaitable<void>()> task);
+
 private:
     [[nodiscard]] bool ready() const;
     [[nodiscard]] std::shared_ptr<session_context> make_context(session_context::handler handle);
@@ -74,6 +77,7 @@
     net::asio::awaitable<void> run_ticks();
     net::asio::awaitable<void> complete_shutdown();
     void wait_for_signal();
+    void report_error(std::string_view error);
     void tick();
     void reload_settings(std::string_view cause);
     void check_settings_file();
--- a/source/gateway/peer_link.cpp
+++ b/source/gateway/peer_link.cpp
@@ -17,8 +17,10 @@
 
 } // namespace
 
-peer_link::peer_link(const asio::any_io_executor& executor, message_handler on_message)
-    : executor_(executor), on_message_(std::move(on_message)), socket_(executor)
+peer_link::peer_link(const asio::any_io_executor& executor, message_handler on_message,
+                     net::error_hook on_error)
+    : executor_(executor), on_message_(std::move(on_message)), on_error_(std::move(on_error)),
+      socket_(executor)
 {}
 
 net::error_code peer_link::open(const udp::endpoint& address)
@@ -30,7 +32,7 @@
     if (!error)
         socket_.non_blocking(true, error);
     if (!error)
-        asio::co_spawn(executor_, receive(), asio::detached);
+        asio::co_spawn(executor_, net::run_lasting([this] { return receive(); }, on_error_), asio::detached);
     return error;
 }
 
--- a/source/gateway/peer_link.h
+++ b/source/gateway/peer_link.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gateway/status_codec.h"
-#include "net/asio_types.h"
+#include "net/lasting_task.h"
 
 #include <array>
 #include <boost/asio/ip/udp.hpp>
@@ -18,8 +18,10 @@
 
     using message_handler = std::function<void(const peer_message&)>;
 
-    /** @param on_message is called with each message, also with one that could not be decoded. */
-    peer_link(const net::asio::any_io_executor& executor, message_handler on_message);
+    /** @param on_message is called with each message, also with one that could not be decoded.
+        @param on_error is called with each unexpected error. */
+    peer_link(const net::asio::any_io_executor& executor, message_handler on_message,
+              net::error_hook on_error);
 
     /** Binds the socket to @p address and begins to receive. */
     [[nodiscard]] net::error_code open(const net::asio::ip::udp::endpoint& address);
@@ -31,6 +33,7 @@
 
     net::asio::any_io_executor executor_;
     message_handler on_message_;
+    net::error_hook on_error_;
     net::asio::ip::udp::socket socket_;
     std::array<char, max_datagram_bytes> buffer_{};
 };
--- a/source/net/metrics.h
+++ b/source/net/metrics.h
@@ -32,7 +32,8 @@
     platform_calls_failed,
     probes_sent,
     probes_failed,
-    log_lines_dropped
+    log_lines_dropped,
+    unexpected_errors
 };
 
 /** Interface that receives the counts of the network layer. */
@@ -63,7 +64,7 @@
 
 template <>
 struct names_of<net::counter> {
-    static constexpr std::array<std::string_view, 27> table{"connections_accepted",
+    static constexpr std::array<std::string_view, 28> table{"connections_accepted",
                                                             "connections_refused",
                                                             "requests_received",
                                                             "requests_malformed",
@@ -89,7 +90,8 @@
                                                             "platform_calls_failed",
                                                             "probes_sent",
                                                             "probes_failed",
-                                                            "log_lines_dropped"};
+                                                            "log_lines_dropped",
+                                                            "unexpected_errors"};
 };
 
 template <>
--- a/tests/gateway/forwarding_fixture.cpp
+++ b/tests/gateway/forwarding_fixture.cpp
@@ -43,9 +43,9 @@
       connections_(io_.get_executor(), std::chrono::seconds(4), metrics_, time_),
       context_{io_.get_executor(), time_, steerer_, connections_, dialect_, metrics_, log_},
       listener_(io_.get_executor(),
-                std::make_shared<gateway::session_context>(
-                    gateway::session_context{time_, metrics_, [this] { return steerer_.policy()->limits; },
-                                             [this](auto exchange) { return forward(std::move(exchange)); }}),
+                std::make_shared<gateway::session_context>(gateway::session_context{
+                    time_, metrics_, [this] { return steerer_.policy()->limits; },
+                    [this](auto exchange) { return forward(std::move(exchange)); }, [](std::string_view) {}}),
                 64)
 {
     steerer_.servers().set_regions({{core::data_centre_id{"a"}, core::region_id{"r"}}});
