Add a soak of real gateways and damaged messages by seed

Change: ./run soak runs real gateways with stand-ins of the store, servers and callers on loopback; proxies delay, cut and reset; processes are stopped, killed, suspended and told to reload; servers crash, drain, answer twice, truncate, send bytes without end; each third seed has planned work only. Checked from callers' and servers' records: at most once, true refusals, own and whole answers, drain, configuration never back, retries, ends in time, memory.

--- /dev/null
+++ b/tests/platform/soak/server_stand_in.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "event_history.h"
+#include "net/asio_types.h"
+#include "request_records.h"
+
+#include <boost/beast/http.hpp>
+#include <list>
+
+namespace knapweed::soak {
+
+/** What a backend server does wrong. */
+enum class server_fault { none, slow, mute, hangs, extra_answer, truncates, unframed, endless, sheds };
+
+/** A backend server: slots, a queue, the check of the expected id, and faults. */
+class server_stand_in {
+public:
+    /** @param records and @p history must outlive this object. */
+    server_stand_in(net::asio::any_io_executor executor, std::string id, std::string service,
+                    request_records& records, event_history& history, std::uint64_t seed);
+    server_stand_in(const server_stand_in&) = delete;
+    server_stand_in& operator=(const server_stand_in&) = delete;
+
+    [[nodiscard]] const std::string& id() const noexcept { return id_; }
+    [[nodiscard]] const std::string& service() const noexcept { return service_; }
+    [[nodiscard]] net::tcp::endpoint address() const { return address_; }
+    void set_fault(server_fault fault) { fault_ = fault; }
+    /** Ends the process of the server: nobody listens, all connections are reset. */
+    void crash();
+    /** Starts a new process with a new id at the same address. */
+    void restart();
+
+private:
+    using request = boost::beast::http::request<boost::beast::http::string_body>;
+    using response = boost::beast::http::response<boost::beast::http::string_body>;
+    using socket_pointer = std::shared_ptr<net::tcp::socket>;
+
+    net::asio::awaitable<void> accept();
+    net::asio::awaitable<void> serve(socket_pointer socket);
+    net::asio::awaitable<bool> run(net::tcp::socket& socket, const request& call,
+                                   const std::string& request_id);
+    net::asio::awaitable<bool> write(net::tcp::socket& socket, response answer);
+    net::asio::awaitable<bool> write_text(net::tcp::socket& socket, const std::string& text);
+    net::asio::awaitable<void> write_endless(net::tcp::socket& socket);
+    [[nodiscard]] response make_answer(unsigned status, const std::string& request_id) const;
+
+    net::asio::any_io_executor executor_;
+    std::string base_id_;
+    std::string id_;
+    std::string service_;
+    request_records& records_;
+    event_history& history_;
+    core::random_source random_;
+    net::tcp::endpoint address_;
+    std::unique_ptr<net::tcp::acceptor> acceptor_;
+    std::list<std::weak_ptr<net::tcp::socket>> connections_;
+    server_fault fault_ = server_fault::none;
+    unsigned running_ = 0;
+    unsigned waiting_ = 0;
+    int starts_ = 0;
+};
+
+/** @returns the body of the server's answer to a request. */
+[[nodiscard]] std::string expected_body(const std::string& request_id);
+
+} // namespace knapweed::soak
--- /dev/null
+++ b/tests/platform/soak/store_stand_in.cpp
@@ -0,0 +1,189 @@
+#include "store_stand_in.h"
+
+#include "platform/base64.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+namespace knapweed::soak {
+
+namespace asio = net::asio;
+namespace http = boost::beast::http;
+using nlohmann::json;
+
+namespace {
+
+constexpr core::milliseconds poll_interval{10};
+constexpr core::milliseconds slow_answer{700};
+constexpr core::milliseconds late_write{1500};
+
+/** @returns the value of a parameter of a target's query, empty when absent. */
+std::string parameter(const std::string& target, const std::string& name)
+{
+    auto begin = target.find('?');
+    while (begin != std::string::npos) {
+        const auto end = target.find('&', begin + 1);
+        const auto pair = target.substr(begin + 1, end == std::string::npos ? end : end - begin - 1);
+        if (pair.starts_with(name + "="))
+            return pair.substr(name.size() + 1);
+        begin = end;
+    }
+    return {};
+}
+
+std::uint64_t number(const std::string& text)
+{
+    return text.empty() ? 0 : std::stoull(text);
+}
+
+} // namespace
+
+store_stand_in::store_stand_in(asio::any_io_executor executor)
+    : executor_(std::move(executor)), acceptor_(executor_, {asio::ip::address_v4::loopback(), 0})
+{
+    asio::co_spawn(executor_, accept(), asio::detached);
+}
+
+void store_stand_in::put(const std::string& table, const std::string& key, const std::string& value)
+{
+    tables_[table][key] = {value, ++version_, false};
+}
+
+void store_stand_in::remove(const std::string& table, const std::string& key)
+{
+    tables_[table][key] = {"", ++version_, true};
+}
+
+void store_stand_in::set_fault(store_fault fault)
+{
+    fault_ = fault;
+    if (fault == store_fault::forgets_history)
+        history_begin_ = version_;
+}
+
+asio::awaitable<void> store_stand_in::accept()
+{
+    for (;;) {
+        auto [error, socket] = co_await acceptor_.async_accept(net::as_result);
+        if (error)
+            co_return;
+        asio::co_spawn(executor_, serve(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> store_stand_in::serve(net::tcp::socket socket)
+{
+    boost::beast::flat_buffer buffer;
+    for (;;) {
+        request call;
+        const auto [error, bytes] = co_await http::async_read(socket, buffer, call, net::as_result);
+        if (error)
+            co_return;
+        const auto result = co_await handle(call);
+        if (!result)
+            co_return; // the connection ends without an answer
+        http::response<http::string_body> response(static_cast<http::status>(result->status), 11);
+        response.body() = result->body.dump();
+        response.prepare_payload();
+        const auto [write_error, written] = co_await http::async_write(socket, response, net::as_result);
+        if (write_error)
+            co_return;
+    }
+}
+
+/** @returns the answer, or nothing when the connection ends without one. */
+asio::awaitable<std::optional<store_stand_in::answer>> store_stand_in::handle(const request& call)
+{
+    const std::string target(call.target());
+    const auto fault = fault_;
+    asio::steady_timer pause(executor_);
+    if (fault == store_fault::refuses)
+        co_return answer{503};
+    if (fault == store_fault::silent || fault == store_fault::slow) {
+        pause.expires_after(slow_answer);
+        co_await pause.async_wait(net::as_result);
+        while (fault_ == store_fault::silent) {
+            pause.expires_after(poll_interval);
+            co_await pause.async_wait(net::as_result);
+        }
+        if (fault == store_fault::silent)
+            co_return std::nullopt;
+    }
+    answer result;
+    if (target.starts_with("/rows-tx")) {
+        if (fault == store_fault::writes_late) {
+            asio::co_spawn(executor_, apply_later(json::parse(call.body())), asio::detached);
+            co_return std::nullopt;
+        }
+        apply(json::parse(call.body()));
+    }
+    else if (target.starts_with("/rows-feed")) {
+        result = co_await follow(parameter(target, "tableName"), number(parameter(target, "after")),
+                                 core::milliseconds(number(parameter(target, "waitMs"))));
+    }
+    else {
+        result.body["rows"] = rows_after(parameter(target, "tableName"), 0, parameter(target, "from"), false);
+        result.body["hasMore"] = false;
+    }
+    result.body["ver"] = version_;
+    if (fault == store_fault::loses_answers)
+        co_return std::nullopt;
+    co_return result;
+}
+
+asio::awaitable<store_stand_in::answer> store_stand_in::follow(const std::string& table, std::uint64_t after,
+                                                               core::milliseconds wait)
+{
+    answer result;
+    asio::steady_timer pause(executor_);
+    for (core::milliseconds waited{0};; waited += poll_interval) {
+        if (after < history_begin_) {
+            result.status = 410;
+            co_return result;
+        }
+        result.body["rows"] = rows_after(table, after, "", true);
+        if (!result.body["rows"].empty() || waited >= wait)
+            co_return result;
+        pause.expires_after(poll_interval);
+        co_await pause.async_wait(net::as_result);
+    }
+}
+
+json store_stand_in::rows_after(const std::string& table, std::uint64_t version, const std::string& first_key,
+                                bool with_removed) const
+{
+    auto rows = json::array();
+    const auto found = tables_.find(table);
+    if (found == tables_.end())
+        return rows;
+    for (const auto& [key, content] : found->second) {
+        if (content.version <= version || key < first_key || (content.removed && !with_removed))
+            continue;
+        json entry{{"key", key}, {"ver", content.version}};
+        if (content.removed)
+            entry["removed"] = true;
+        else
+            entry["value"] = platform::encode_base64(content.value);
+        rows.push_back(std::move(entry));
+    }
+    return rows;
+}
+
+void store_stand_in::apply(const json& transaction)
+{
+    for (const auto& write : transaction.at("writes"))
+        put(write.at("tableName"), write.at("key"),
+            platform::decode_base64(write.at("value").get<std::string>()));
+    for (const auto& removal : transaction.at("remove"))
+        remove(removal.at("tableName"), removal.at("key"));
+}
+
+asio::awaitable<void> store_stand_in::apply_later(json transaction)
+{
+    asio::steady_timer pause(executor_, late_write);
+    co_await pause.async_wait(net::as_result);
+    apply(transaction);
+}
+
+} // namespace knapweed::soak
--- /dev/null
+++ b/tests/platform/soak/store_stand_in.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "core/core.h"
+#include "net/asio_types.h"
+
+#include <boost/beast/http.hpp>
+#include <map>
+#include <nlohmann/json.hpp>
+
+namespace knapweed::soak {
+
+/** What the store does with calls. */
+enum class store_fault { none, refuses, silent, slow, loses_answers, writes_late, forgets_history };
+
+/** A stand-in of the platform's metadata store: rows, long polls for changes, and faults. */
+class store_stand_in {
+public:
+    explicit store_stand_in(net::asio::any_io_executor executor);
+    store_stand_in(const store_stand_in&) = delete;
+    store_stand_in& operator=(const store_stand_in&) = delete;
+
+    [[nodiscard]] net::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+    void put(const std::string& table, const std::string& key, const std::string& value);
+    void remove(const std::string& table, const std::string& key);
+    void set_fault(store_fault fault);
+
+private:
+    using request = boost::beast::http::request<boost::beast::http::string_body>;
+
+    struct row {
+        std::string value;
+        std::uint64_t version = 0;
+        bool removed = false;
+    };
+    struct answer {
+        unsigned status = 200;
+        nlohmann::json body = nlohmann::json::object();
+    };
+
+    net::asio::awaitable<void> accept();
+    net::asio::awaitable<void> serve(net::tcp::socket socket);
+    net::asio::awaitable<std::optional<answer>> handle(const request& call);
+    net::asio::awaitable<answer> follow(const std::string& table, std::uint64_t after,
+                                        core::milliseconds wait);
+    [[nodiscard]] nlohmann::json rows_after(const std::string& table, std::uint64_t version,
+                                            const std::string& first_key, bool with_removed) const;
+    void apply(const nlohmann::json& transaction);
+    net::asio::awaitable<void> apply_later(nlohmann::json transaction);
+
+    net::asio::any_io_executor executor_;
+    net::tcp::acceptor acceptor_;
+    std::map<std::string, std::map<std::string, row>> tables_;
+    std::uint64_t version_ = 1;
+    std::uint64_t history_begin_ = 0; ///< changes before it are forgotten
+    store_fault fault_ = store_fault::none;
+};
+
+} // namespace knapweed::soak
