--- a/source/gateway/gateway.h
+++ b/source/gateway/gateway.h
@@ -63,6 +63,9 @@
     /** Begins a graceful shutdown. */
     void leave();
 
+    /** Runs a coroutine that is needed as long as the process runs. @see net::run_lasting */
+    void start_lasting(std::function<net::asio::awaitable<void>()> task);
+
 private:
     [[nodiscard]] bool ready() const;
     [[nodiscard]] std::shared_ptr<session_context> make_context(session_context::handler handle);
@@ -74,13 +77,15 @@
     net::asio::awaitable<void> run_ticks();
     net::asio::awaitable<void> complete_shutdown();
     void wait_for_signal();
+    void report_error(std::string_view error);
     void tick();
     void reload_settings(std::string_view cause);
     void check_settings_file();
     void receive(const peer_message& message);
     void send_status();
     net::asio::awaitable<void> send_load_periodically();
-    void send_load(bool to_all_regions);
+    void send_load(std::uint64_t round);
+    void receive_load(const steering::instance_load& load);
 
     gateway_settings settings_;
     std::string settings_file_;
--- a/tests/gateway/forwarding_fixture.cpp
+++ b/tests/gateway/forwarding_fixture.cpp
@@ -43,9 +43,9 @@
       connections_(io_.get_executor(), std::chrono::seconds(4), metrics_, time_),
       context_{io_.get_executor(), time_, steerer_, connections_, dialect_, metrics_, log_},
       listener_(io_.get_executor(),
-                std::make_shared<gateway::session_context>(
-                    gateway::session_context{time_, metrics_, [this] { return steerer_.policy()->limits; },
-                                             [this](auto exchange) { return forward(std::move(exchange)); }}),
+                std::make_shared<gateway::session_context>(gateway::session_context{
+                    time_, metrics_, [this] { return steerer_.policy()->limits; },
+                    [this](auto exchange) { return forward(std::move(exchange)); }, [](std::string_view) {}}),
                 64)
 {
     steerer_.servers().set_regions({{core::data_centre_id{"a"}, core::region_id{"r"}}});
@@ -95,6 +95,12 @@
     return sum;
 }
 
+double forwarding_fixture::failure_share_of(std::size_t index) const
+{
+    const auto server = context_.steerer.servers().find(core::server_id{"s" + std::to_string(index)});
+    return server->failures().failure_share();
+}
+
 std::string make_request(const std::string& id, const std::string& method, const std::string& fields,
                          const std::string& body)
 {
