--- a/benchmarks/experiment/fleet_simulation.cpp
+++ b/benchmarks/experiment/fleet_simulation.cpp
@@ -213,14 +213,10 @@
         return;
     auto& from = *instances_[sender];
     const auto plan = from.steerer.fanout().next_load_message(round);
-    instance_load load{from.id, {generation}, 0, from.steerer.own_load(), {}};
-    if (plan.covers_region) {
-        load.servers = from.steerer.loads_of_peers().region_sum(load.servers);
-        load.region = from.location.region;
-    }
-    if (plan.is_due || load.servers != from.last_sent_load) {
-        load.sequence = ++sequence_;
-        deliver(from, plan.addresses, [load](instance& receiver) {
+    const auto send = [&](const std::vector<std::string>& receivers,
+                          const std::vector<instance_load::entry>& servers, const core::region_id& region) {
+        const instance_load load{from.id, {generation}, ++sequence_, servers, region};
+        deliver(from, receivers, [load](instance& receiver) {
             if (load.region != receiver.location.region)
                 return receiver.steerer.loads_of_peers().update(load);
             if (receiver.steerer.fanout().is_hub())
@@ -229,8 +225,13 @@
             others.servers = subtract(load.servers, receiver.last_sent_load);
             receiver.steerer.loads_of_peers().update(others);
         });
-        from.last_sent_load = std::move(load.servers);
-    }
+    };
+    auto own = from.steerer.own_load();
+    if (!plan.region_sum.empty())
+        send(plan.region_sum, from.steerer.loads_of_peers().region_sum(own), from.location.region);
+    if (plan.is_due || own != from.last_sent_load)
+        send(plan.own_load, own, {});
+    from.last_sent_load = std::move(own);
     after(from.steerer.fanout().load_interval(),
           [this, sender, generation, round] { send_load(sender, generation, round + 1); });
 }
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -307,21 +307,21 @@
     }
 }
 
-/** Sends a load message if it is due or if the load has changed since the last one. */
+/** Sends the load messages of one round; that of this instance only if it is due or has changed. */
 void gateway::send_load(std::uint64_t round)
 {
     const auto plan = steerer_.fanout().next_load_message(round);
-    steering::instance_load load{settings_.instance, incarnation_, 0, steerer_.own_load(), {}};
-    if (plan.covers_region) {
-        load.servers = steerer_.loads_of_peers().region_sum(load.servers);
-        load.region = settings_.region;
+    auto own = steerer_.own_load();
+    if (!plan.region_sum.empty()) {
+        const steering::instance_load sum{settings_.instance, incarnation_, ++sequence_,
+                                          steerer_.loads_of_peers().region_sum(own), settings_.region};
+        peers_.send(encode_datagram(sum), plan.region_sum);
     }
-    if (!plan.is_due && load.servers == last_sent_load_)
-        return;
-    load.sequence = ++sequence_;
-    if (!plan.addresses.empty())
-        peers_.send(encode_datagram(load), plan.addresses);
-    last_sent_load_ = std::move(load.servers);
+    if (!plan.own_load.empty() && (plan.is_due || own != last_sent_load_)) {
+        const steering::instance_load load{settings_.instance, incarnation_, ++sequence_, own, {}};
+        peers_.send(encode_datagram(load), plan.own_load);
+    }
+    last_sent_load_ = std::move(own);
 }
 
 asio::awaitable<void> gateway::run_ticks()
--- a/source/steering/peer_fanout.cpp
+++ b/source/steering/peer_fanout.cpp
@@ -14,9 +14,9 @@
 /** Several status intervals: after this time a new instance knows the others of its region. */
 constexpr core::milliseconds settling_time{1500};
 /** Interval of load messages to and from the hub of the region. */
-constexpr core::milliseconds min_hub_interval{100};
+constexpr core::milliseconds min_hub_interval{60};
 /** Maximum number of load messages that a hub receives per second, and sends. */
-constexpr double max_hub_messages_per_second = 800;
+constexpr double max_hub_messages_per_second = 1100;
 
 } // namespace
 
@@ -64,11 +64,18 @@
     return to_all ? peers_.peer_addresses() : peers_.peer_addresses_in(region_);
 }
 
+bool peer_fanout::is_region_mesh() const
+{
+    return peers_.known_peers_in(region_) <= peer_table::max_full_mesh_peers;
+}
+
 core::duration peer_fanout::load_interval() const
 {
     const auto same_region = peers_.known_peers_in(region_);
     if (peers_.is_full_mesh())
         return steering::load_interval(same_region, peers_.known_peers() - same_region);
+    if (is_region_mesh())
+        return steering::load_interval(same_region, 0);
     const std::chrono::duration<double> interval(static_cast<double>(same_region) /
                                                  max_hub_messages_per_second);
     return std::max<core::duration>(std::chrono::duration_cast<core::duration>(interval), min_hub_interval);
@@ -78,11 +85,20 @@
 {
     load_message_plan plan;
     plan.is_due = round % load_rounds_per_far_message == 0;
-    plan.covers_region = is_hub();
-    if (peers_.is_full_mesh() || plan.covers_region)
-        plan.addresses = plan.is_due ? peers_.peer_addresses() : peers_.peer_addresses_in(region_);
+    if (peers_.is_full_mesh()) {
+        plan.own_load = plan.is_due ? peers_.peer_addresses() : peers_.peer_addresses_in(region_);
+        return plan;
+    }
+    if (is_region_mesh())
+        plan.own_load = peers_.peer_addresses_in(region_);
+    else if (is_hub())
+        plan.region_sum = peers_.peer_addresses_in(region_);
     else if (!hub_address_.empty())
-        plan.addresses.push_back(hub_address_);
+        plan.own_load.push_back(hub_address_);
+    if (is_hub() && plan.is_due) {
+        const auto far = peers_.peer_addresses_outside(region_);
+        plan.region_sum.insert(plan.region_sum.end(), far.begin(), far.end());
+    }
     return plan;
 }
 
--- a/source/steering/peer_fanout.h
+++ b/source/steering/peer_fanout.h
@@ -4,24 +4,23 @@
 
 namespace knapweed::steering {
 
-/** Receivers and content of one load message. */
+/** Receivers of one round of load messages. */
 struct load_message_plan {
-    std::vector<std::string> addresses;
-    bool covers_region = false; ///< the message contains the sums over all instances of the region
-    bool is_due = false;        ///< it is sent even if its content has not changed
+    std::vector<std::string> own_load;   ///< receivers of this instance's load
+    std::vector<std::string> region_sum; ///< receivers of the sums over this instance's region
+    bool is_due = false;                 ///< own_load is sent even if it has not changed
 };
 
 /** Decides to which instances this instance sends its messages, and how often.
 
-    A few dozen instances form a full mesh. In a larger installation the messages of a full mesh would take
-   most of the processor time of a small instance. There, status messages stay within the region, and load
-   messages are sent to the hub of the region, which sends the sums to the instances of its region and, less
-   often, to those of the other regions. Each instance then sends and receives the same number of load
-   messages however many instances there are, except for the hubs.
+    A few dozen instances form a full mesh. In a larger installation the messages between regions would cost more than
+    all others, and with large regions the messages of a full mesh would take most of the processor time of a small
+    instance. There, status messages stay within the region, and the hub of each region informs the other regions: it
+    sends them its status and the sums of the loads of its region. Within a region of a few dozen instances, every
+    instance sends its load to every other one; in a larger region it sends it to the hub, which sends the sums back.
 
-    The hub of a region is its live instance with the largest capacity; a hash of the name decides between
-   equal ones. While no instance knows it, for instance after a power cut, no load messages are sent, and the
-   estimates rest on the reports of the servers.
+    The hub of a region is its live instance with the largest capacity; a hash of the name decides between equal
+    ones. While no instance knows it, for instance after a power cut, the estimates rest on the reports of the servers.
 */
 class peer_fanout {
 public:
@@ -48,6 +47,8 @@
     using rank = std::pair<double, std::uint64_t>; ///< the instance with the lowest rank is the hub
 
     [[nodiscard]] static rank rank_of(const core::instance_id& instance, double capacity);
+    /** @returns whether the instances of this region send their loads to each other. */
+    [[nodiscard]] bool is_region_mesh() const;
 
     core::instance_id own_;
     core::region_id region_;
--- a/source/steering/peer_table.cpp
+++ b/source/steering/peer_table.cpp
@@ -69,6 +69,16 @@
     return addresses;
 }
 
+std::vector<std::string> peer_table::peer_addresses_outside(const core::region_id& region) const
+{
+    std::vector<std::string> addresses;
+    for (const auto& [instance, known_peer] : peers_) {
+        if (known_peer.status.location.region != region)
+            addresses.push_back(known_peer.status.peer_address);
+    }
+    return addresses;
+}
+
 void peer_table::visit_live(core::duration max_age,
                             const std::function<void(const instance_status&)>& visitor) const
 {
--- a/source/steering/peer_table.h
+++ b/source/steering/peer_table.h
@@ -62,6 +62,8 @@
     [[nodiscard]] std::vector<std::string> peer_addresses() const;
     /** @returns the addresses of the known instances of one region for status messages. */
     [[nodiscard]] std::vector<std::string> peer_addresses_in(const core::region_id& region) const;
+    /** @returns the addresses of the known instances of all other regions for status messages. */
+    [[nodiscard]] std::vector<std::string> peer_addresses_outside(const core::region_id& region) const;
     /** Calls @p visitor with the latest status of each instance that is probably running: of the live ones,
        and beyond a full mesh also of those in other regions, from which no messages arrive. */
     void visit_present(const std::function<void(const instance_status&)>& visitor) const;
--- a/tests/steering/peer_fanout_test.cpp
+++ b/tests/steering/peer_fanout_test.cpp
@@ -101,7 +101,7 @@
     double load_messages = 0;
     const double rounds_per_second = 1 / std::chrono::duration<double>(last.fanout.load_interval()).count();
     for (std::uint64_t round = 0; round < load_rounds_per_far_message; ++round)
-        load_messages += static_cast<double>(last.fanout.next_load_message(round).addresses.size()) *
+        load_messages += static_cast<double>(last.fanout.next_load_message(round).own_load.size()) *
                          rounds_per_second / static_cast<double>(load_rounds_per_far_message);
     return static_cast<double>(last.status_messages) / 5 + load_messages;
 }
@@ -123,16 +123,17 @@
 // Guards against several hubs in a region, or a small instance that has to inform all others.
 TEST_CASE("each region of a large installation has one hub, an instance of large capacity")
 {
-    fleet all(101);
+    fleet all(120);
     all.advance(milliseconds(6000));
     std::map<core::region_id, std::set<std::string>> hubs;
     for (auto& member : all.members) {
         const auto plan = member->fanout.next_load_message(1);
-        if (!plan.covers_region) {
-            REQUIRE(plan.addresses.size() == 1);
-            hubs[member->region].insert(plan.addresses.front());
+        if (!member->fanout.is_hub()) {
+            REQUIRE(plan.own_load.size() == 1);
+            hubs[member->region].insert(plan.own_load.front());
             continue;
         }
+        REQUIRE(plan.region_sum.size() == 39);
         hubs[member->region].insert(member->id.str());
         REQUIRE(member->capacity == 0.5);
     }
@@ -179,6 +180,20 @@
     REQUIRE(senders == 11);
 }
 
+// Guards against loads that are older than a run in a region of a few dozen instances, and against messages of every
+// instance to other regions.
+TEST_CASE("the instances of a small region send their loads to each other, and only the hub to other regions")
+{
+    fleet all(66);
+    all.advance(milliseconds(6000));
+    for (auto& member : all.members) {
+        const auto plan = member->fanout.next_load_message(0);
+        REQUIRE(plan.own_load.size() == 21);
+        REQUIRE(plan.region_sum.size() == (member->fanout.is_hub() ? 44 : 0));
+        REQUIRE(member->fanout.load_interval() < milliseconds(100));
+    }
+}
+
 // Guards against sums that count a request twice or not at all.
 TEST_CASE("a hub's sums replace the loads of the instances of its region")
 {
