Estimate run times from the target at first, and order similar servers by object

Estimates began at 200 ms (100 for a server that has the object) for requests of 252 and 1,008 ms: a region with few servers took its capacity for four times what it was, and as fetching seemed to cost 100 ms more only, requests went to whichever server seemed free instead of to the object's home server, so that objects were fetched again and again. And of servers with equal cost every instance chose the first, so that all sent to the same one. Change: until the first answers, run times are 0.8, 0.4 (familiar) and 1.2 (unfamiliar) of the target latency, at most of half the timeout; the cost of similar servers differs by up to a tenth of the run time, in an order given by the object, so that all instances fetch an object at the same second server; large answers keep their order by transfer.

--- a/source/steering/server_choice.cpp
+++ b/source/steering/server_choice.cpp
@@ -25,6 +25,8 @@
    little bandwidth and are shared. */
 constexpr milliseconds_d cost_per_kilobyte_same_region{1.5};
 constexpr milliseconds_d cost_per_kilobyte_other_region{3.0};
+/** Part of the run time by which the costs of similar servers differ. */
+constexpr double similar_cost_share = 0.1;
 /** Part of the time left that a request may be expected to take; the rest is for errors of the estimate. */
 constexpr double usable_time_left = 0.9;
 
@@ -33,7 +35,7 @@
     const server_pointer* server = nullptr;
     milliseconds_d expected_time{};
     milliseconds_d wait{};
-    milliseconds_d cost{};    ///< expected time, plus costs of failures and transfer
+    milliseconds_d cost{};    ///< expected time, plus costs of failures and transfer and the order of similar servers
     bool needs_fetch = false; ///< the server has to fetch the request's object first
     /** Part of the server's other slots that is free while the request runs. For a server with one slot: 1
        minus its occupancy. */
@@ -89,6 +91,17 @@
                : std::chrono::duration<double>(unanswered) / std::chrono::duration<double>(normal);
 }
 
+/** @returns a cost that orders servers of similar cost for the request, but not those for a large answer: there,
+    the transfer decides. */
+milliseconds_d order_cost(const choice_request& request, const backend_server& server)
+{
+    const auto spread = milliseconds_d(request.run_time) * similar_cost_share;
+    if (request.answer_kilobytes * cost_per_kilobyte_same_region > spread)
+        return milliseconds_d::zero();
+    const auto hash = mix((request.object_hash != 0 ? request.object_hash : request.random) ^ server.id_hash());
+    return spread * (1 - static_cast<double>(hash >> 11U) * 0x1.0p-53);
+}
+
 scored_server score(const choice_request& request, const server_pointer& server, bool is_home,
                     const distance_table& distances)
 {
@@ -110,7 +123,8 @@
     result.wait = milliseconds_d(request.run_time) * slowness * queued / slots;
     result.expected_time = milliseconds_d(distances.round_trip(location)) + result.wait + run_time * slowness;
     result.cost = result.expected_time + server->failures().failure_share() * failure_cost +
-                  transfer_cost(request, distances.to(location));
+                  transfer_cost(request, distances.to(location)) +
+                  order_cost(request, *server);
     return result;
 }
 
--- a/source/steering/server_choice.h
+++ b/source/steering/server_choice.h
@@ -11,6 +11,7 @@
 /** Properties of a request on which the choice of its server depends. */
 struct choice_request {
     std::uint64_t object_hash = 0;        ///< hash of the object that the request concerns; 0 for none
+    std::uint64_t random = 0;             ///< orders similar servers for a request without an object
     core::duration time_left{};           ///< until the final answer is due
     core::duration time_to_target{};      ///< until the answer is worth less; negative after that time
     core::duration run_time{};            ///< mean run time at a server with a free slot
@@ -39,6 +40,10 @@
 /** Chooses, among the servers with room for a request, the one with the lowest cost: the expected time, plus
    costs for recent failures and for sending a large answer out of the server's data centre or region.
 
+    Servers of similar cost are ordered by a hash of the object and the server, or at random without an object.
+    Otherwise all instances, which estimate the same costs, would send to the same server at the same time; and so the
+    server that fetches an object whose home server is full is the same for all instances.
+
     The expected time is the sum of the round trip, the wait for a slot at the server's estimated occupancy,
    and the run time, which is much shorter at a server that has cached the request's object. All instances
    prefer the same server for an object, its home server, which they find by rendezvous hashing. Another
--- a/source/steering/service_state.cpp
+++ b/source/steering/service_state.cpp
@@ -43,8 +43,30 @@
     return std::min(sample_divisor, first_sample_divisor + samples);
 }
 
+/** Run times before the first answers, as parts of the target latency. Until caches have filled, a server that has to
+   fetch an object misses the target, and one that has cached it answers in less than half of it. Estimates that are
+   too low fill the queues of a region which has few servers; estimates that differ too little send requests for an
+   object to many servers. */
+constexpr double assumed_run_share = 0.8;
+constexpr double assumed_familiar_share = 0.4;
+constexpr double assumed_unfamiliar_share = 1.2;
+constexpr core::milliseconds min_assumed_target{50};
+
+core::duration part_of(core::duration target_latency, double share)
+{
+    return std::chrono::duration_cast<core::duration>(
+        std::max<core::duration>(target_latency, min_assumed_target) * share);
+}
+
 } // namespace
 
+service_state::service_state(state::shift_cap cap, core::duration target_latency, const core::clock& time)
+    : time_(time), created_(time.now()), latest_answer_(time.now()), demand_(time), regions_(cap, time),
+      run_time_(part_of(target_latency, assumed_run_share)),
+      familiar_run_time_(part_of(target_latency, assumed_familiar_share)),
+      unfamiliar_run_time_(part_of(target_latency, assumed_unfamiliar_share))
+{}
+
 core::duration service_state::decayed(core::duration estimate) const
 {
     const std::chrono::duration<double> excess_age = time_.now() - latest_answer_ - estimate_valid_for;
--- a/source/steering/service_state.h
+++ b/source/steering/service_state.h
@@ -12,10 +12,9 @@
 /** This instance's estimates for one service: demand, run times, and the shares of its regions. */
 class service_state {
 public:
-    /** @param time must outlive this object. */
-    service_state(state::shift_cap cap, const core::clock& time)
-        : time_(time), created_(time.now()), latest_answer_(time.now()), demand_(time), regions_(cap, time)
-    {}
+    /** @param target_latency of the service's requests, from which the run times are estimated until the first
+        answers. @param time must outlive this object. */
+    service_state(state::shift_cap cap, core::duration target_latency, const core::clock& time);
 
     /** @returns the time since the first request for the service. */
     [[nodiscard]] core::duration age() const { return time_.now() - created_; }
@@ -74,10 +73,9 @@
     arrival_rate demand_;
     state::region_shift_limiter regions_;
     std::map<core::region_id, region_state> by_region_;
-    /** Estimates; the initial values apply until the first answers. */
-    core::duration run_time_ = core::milliseconds(200);
-    core::duration familiar_run_time_ = core::milliseconds(100);
-    core::duration unfamiliar_run_time_ = core::milliseconds(200);
+    core::duration run_time_;
+    core::duration familiar_run_time_;
+    core::duration unfamiliar_run_time_;
 };
 
 } // namespace knapweed::steering
--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -33,6 +33,9 @@
 
 constexpr core::milliseconds plan_interval{500};
 
+/** The run times that are assumed at first must end within the timeout of the route, even if its target is late. */
+constexpr int min_targets_per_timeout = 2;
+
 /** A longer interval between two ticks means that the process stalled, for instance because it was paused. */
 constexpr core::milliseconds stall_threshold{1500};
 /** After a stall it takes about this time until the store has reported which servers have restarted. */
@@ -102,13 +105,14 @@
     return routes_ ? routes_->policy().get() : nullptr;
 }
 
-service_state& steerer::state_of(const core::service_id& service)
+service_state& steerer::state_of(const request_plan& plan)
 {
-    const auto found = services_.find(service);
+    const auto found = services_.find(plan.service);
     if (found != services_.end())
         return found->second;
     const state::shift_cap cap{options_.largest_shift * usable_shift_share, options_.shift_window};
-    return services_.emplace(service, service_state(cap, time_)).first->second;
+    const auto target = std::min(plan.matched->target_latency, plan.matched->timeout / min_targets_per_timeout);
+    return services_.emplace(plan.service, service_state(cap, target, time_)).first->second;
 }
 
 next_step steerer::begin(const request_facts& facts, request_plan& plan)
@@ -127,7 +131,7 @@
     plan.received = facts.received;
     plan.answer_by =
         facts.received + std::min(plan.matched->timeout, facts.time_limit.value_or(plan.matched->timeout));
-    auto& state = state_of(plan.service);
+    auto& state = state_of(plan);
     state.demand().record_arrival();
     retries_.request_received(all_callers, plan.service);
     if (state.regions().weights().empty())
@@ -153,9 +157,10 @@
     const auto now = time_.now();
     choice_request request;
     request.object_hash = plan.object_hash;
+    request.random = random_.next();
     request.time_left = plan.answer_by - now;
     request.time_to_target = plan.received + plan.matched->target_latency - now;
-    const auto& state = state_of(plan.service);
+    const auto& state = state_of(plan);
     request.run_time = state.run_time();
     request.familiar_run_time = state.familiar_run_time();
     request.unfamiliar_run_time = state.unfamiliar_run_time();
@@ -181,7 +186,7 @@
         (server->region() == plan.region ? planned : others).push_back(server);
     const auto in_region = choose_server(request, planned, plan.tried, distances_);
     if (plan.tried.empty())
-        state_of(plan.service).record_room(plan.region, std::holds_alternative<server_choice>(in_region));
+        state_of(plan).record_room(plan.region, std::holds_alternative<server_choice>(in_region));
     if (const auto* choice = std::get_if<server_choice>(&in_region))
         return send(plan, *choice);
     const auto in_other_regions = choose_server(request, others, plan.tried, distances_);
@@ -189,7 +194,7 @@
     if (const auto* choice = std::get_if<server_choice>(&in_other_regions)) {
         // The shift limit does not apply to a request whose planned region has no server, nor to a retry.
         const bool exempt_from_limit = planned.empty() || !plan.tried.empty();
-        if (exempt_from_limit || state_of(plan.service).regions().try_spill(rank_of(*plan.matched)))
+        if (exempt_from_limit || state_of(plan).regions().try_spill(rank_of(*plan.matched)))
             return send(plan, *choice);
         return refuse_or_fail(plan, core::refusal_reason::shift_cap, failure.shortest_wait);
     }
@@ -265,7 +270,7 @@
     if (result.outcome == attempt_outcome::answered && attempt.expected_time.count() > 0)
         server.speed().observe(result.taken, attempt.expected_time);
     if (result.outcome == attempt_outcome::answered)
-        state_of(plan.service).record_answer();
+        state_of(plan).record_answer();
     if (result.outcome != attempt_outcome::answered || server.cold_start().is_cold())
         return;
     const bool waited = attempt.occupancy + 1 > server.slots() || (result.load && result.load->waiting > 0);
@@ -276,10 +281,10 @@
         familiar = attempt.familiar;
     if (waited) {
         const double queued = std::max(0.0, attempt.occupancy + 1 - server.slots());
-        state_of(plan.service).observe_waited(server.region(), run_time, queued / server.slots(), familiar);
+        state_of(plan).observe_waited(server.region(), run_time, queued / server.slots(), familiar);
     }
     else {
-        state_of(plan.service).observe_run_time(server.region(), run_time, familiar);
+        state_of(plan).observe_run_time(server.region(), run_time, familiar);
         auto& size = answer_kilobytes_.try_emplace(plan.matched->name, result.answer_kilobytes).first->second;
         size += size_weight * (result.answer_kilobytes - size);
     }
@@ -340,10 +345,10 @@
                             plan.attempts.size() < max_attempts_with_failed_connections;
     if (!sends_left)
         return refuse_or_fail(plan, core::refusal_reason::server_refused,
-                              state_of(plan.service).run_time() / 2);
+                              state_of(plan).run_time() / 2);
     if (plan.sends > 0 && !exempt_from_budget && !retries_.take(all_callers, plan.service))
         return refuse_or_fail(plan, core::refusal_reason::retry_budget,
-                              state_of(plan.service).run_time() / 2);
+                              state_of(plan).run_time() / 2);
     auto step = choose(plan);
     if (on_retry_ && std::holds_alternative<send_step>(step))
         on_retry_(reason);
--- a/source/steering/steerer.h
+++ b/source/steering/steerer.h
@@ -90,7 +90,7 @@
     [[nodiscard]] region_summary region_sum() const;
 
 private:
-    [[nodiscard]] service_state& state_of(const core::service_id& service);
+    [[nodiscard]] service_state& state_of(const request_plan& plan);
     [[nodiscard]] next_step choose(request_plan& plan);
     [[nodiscard]] next_step send(request_plan& plan, const server_choice& choice);
     [[nodiscard]] next_step retry(request_plan& plan, core::retry_reason reason,
--- a/tests/steering/estimates_test.cpp
+++ b/tests/steering/estimates_test.cpp
@@ -151,7 +151,7 @@
 TEST_CASE("familiar and unfamiliar run times stay distinct when a third of the samples is misclassified")
 {
     core::simulated_clock time;
-    service_state state({}, time);
+    service_state state({}, milliseconds(250), time);
     const core::region_id region{"near"};
     for (int i = 0; i < 600; ++i) {
         const bool misclassified = i % 3 == 0;
@@ -167,7 +167,7 @@
 TEST_CASE("a run time estimate decays while no answers arrive")
 {
     core::simulated_clock time;
-    service_state state({}, time);
+    service_state state({}, milliseconds(250), time);
     const core::region_id region{"near"};
     for (int i = 0; i < 200; ++i)
         state.observe_run_time(region, milliseconds(900), std::nullopt);
--- a/tests/steering/load_simulation.cpp
+++ b/tests/steering/load_simulation.cpp
@@ -30,4 +30,34 @@
     return experiment::simulate(description, scenario.seed);
 }
 
+experiment::fleet_report simulate_short_region()
+{
+    using core::milliseconds;
+    experiment::deployment description;
+    description.length = milliseconds(16000);
+    description.power_cut_at = milliseconds(6000);
+    description.delay_between_regions = milliseconds(55);
+    description.swing = 0.55;
+    auto& service = description.service;
+    service.objects = 71;
+    service.cached_requests = 14;
+    service.cached_run_time = milliseconds(252);
+    service.fetch_run_time = milliseconds(1008);
+    service.target = milliseconds(500);
+    service.timeout = milliseconds(2500);
+    service.time_limit = milliseconds(4000);
+    service.late_worth = 0.12 / 1.4;
+    for (const auto& [name, servers] : {std::pair{"short", 3}, std::pair{"middle", 12}, std::pair{"large", 15}}) {
+        experiment::region_shape region;
+        region.name = name;
+        region.data_centres = 3;
+        region.instances = servers == 12 ? 3 : 5;
+        region.servers = servers;
+        region.requests_per_second = 100;
+        region.phase = static_cast<double>(description.regions.size()) / 3;
+        description.regions.push_back(region);
+    }
+    return experiment::simulate(description, 1);
+}
+
 } // namespace knapweed::test
