Let an instance that the store answers take over from a reader that it turns away

Change: instances that the store answers come first in the order of readers; one failed call soon after an answer does not count. While the store answers none, one instance of each region goes on trying; an instance that hears of no reader at all still watches by itself. Measured: store_reader_role_test.cpp, 'an instance that the store answers replaces a reader that it turns away' fails before (every instance must follow) and passes.

--- a/source/steering/store_reader_role.cpp
+++ b/source/steering/store_reader_role.cpp
@@ -12,15 +12,21 @@
 /** Time within which a change that another region has received also arrives from this region's reader: the
    store answers all readers at the same time, and a datagram takes at most one round trip of 110 ms. */
 constexpr core::milliseconds change_delivery_time{250};
-/** Time after its latest status message for which a reader counts as reachable: two of its messages may be
-   lost. Without a reachable reader, every instance watches the store itself. An instance that is cut off from
+/** Time after its latest status message for which a reader counts as running: two of its messages may be
+   lost. Without a reader, every instance watches the store itself. An instance that is cut off from
    all others must detect within 2.5 s that a server is leaving. */
 constexpr core::milliseconds reader_valid_for{1300};
 
-/** @returns the position of an instance in the order of readers; the lowest in a region is the reader. */
-std::uint64_t reader_rank(const core::instance_id& instance)
+/** Time after its last answered call for which one failed call does not count: the next one may be answered.
+ */
+constexpr core::milliseconds answer_valid_for{2000};
+constexpr unsigned max_failures_while_valid = 1;
+
+/** @returns the position of an instance in the order of readers; the lowest in a region is the reader.
+   Instances that the store answers come first. */
+std::pair<bool, std::uint64_t> reader_rank(const core::instance_id& instance, bool store_answers)
 {
-    return core::hash_text(instance.str());
+    return {!store_answers, core::hash_text(instance.str())};
 }
 
 } // namespace
@@ -34,24 +40,41 @@
 {
     if (leaving_)
         return false;
-    const auto own_rank = reader_rank(own_);
+    const auto own_rank = reader_rank(own_, store_answers());
     std::size_t lower_ranked = 0;
     peers_.visit_live(peer_table::live_timeout, [&](const instance_status& status) {
-        if (status.location.region == region_ && !status.leaving && reader_rank(status.instance) < own_rank)
+        if (status.location.region == region_ && !status.leaving &&
+            reader_rank(status.instance, status.store.reachable) < own_rank)
             ++lower_ranked;
     });
     return lower_ranked < readers_per_region;
 }
 
-bool store_reader_role::has_reachable_reader() const
+bool store_reader_role::has_reader() const
 {
     bool found = false;
-    peers_.visit_live(reader_valid_for, [&found](const instance_status& status) {
-        found = found || (status.store.reads && status.store.reachable);
-    });
+    peers_.visit_live(reader_valid_for,
+                      [&found](const instance_status& status) { found = found || status.store.reads; });
     return found;
 }
 
+bool store_reader_role::store_answers() const
+{
+    return failures_ == 0 || (failures_ <= max_failures_while_valid && last_answer_ &&
+                              time_.now() - *last_answer_ < answer_valid_for);
+}
+
+void store_reader_role::record_call(bool answered)
+{
+    calls_answered_ = answered;
+    if (!answered) {
+        ++failures_;
+        return;
+    }
+    failures_ = 0;
+    last_answer_ = time_.now();
+}
+
 bool store_reader_role::is_behind(replicated_table table) const
 {
     const auto& since = copies_.at(index_of(table)).behind_since;
@@ -119,7 +142,7 @@
 {
     store_view view;
     view.reads = is_reader();
-    view.reachable = calls_answered_;
+    view.reachable = store_answers();
     for (std::size_t i = 0; i < copies_.size(); ++i)
         view.newest_change.at(i) = copies_.at(i).newest_change;
     return view;
--- a/source/steering/store_reader_role.h
+++ b/source/steering/store_reader_role.h
@@ -10,8 +10,10 @@
     One instance in each region is the reader: it watches the tables and sends every change to the instances
    of its region by datagram. The status messages between all instances contain the newest change of each
    table that the sender has. An instance that has missed a change, because a datagram was lost or its reader
-   is cut off or has stalled, detects this within a status interval and reads the table once. While no reader
-   can reach the store, every instance watches it by itself.
+   is cut off or has stalled, detects this within a status interval and reads the table once. When the
+   store does not answer the reader, another instance that it answered last takes over; while it answers none,
+   one instance of each region goes on trying. An instance that hears of no reader watches the store by
+   itself.
 
     Calls to the store are limited and cost money. If every instance watched both tables, the number of calls
     would grow with the product of instances and changes.
@@ -25,12 +27,12 @@
     /** @returns whether this instance is the reader of its region. */
     [[nodiscard]] bool is_reader() const;
     /** @returns whether this instance has to watch the store now. */
-    [[nodiscard]] bool must_follow_store() const { return is_reader() || !has_reachable_reader(); }
+    [[nodiscard]] bool must_follow_store() const { return is_reader() || !has_reader(); }
     /** @returns whether another instance has a change that this instance should have received by now. */
     [[nodiscard]] bool is_behind(replicated_table table) const;
 
     /** Records whether the store answered the latest call. */
-    void record_call(bool answered) { calls_answered_ = answered; }
+    void record_call(bool answered);
     /** Records that the copy of a table is complete up to a version of the store.
         @param newest_change version of the newest change in the table. */
     void set_table_version(replicated_table table, std::uint64_t newest_change, std::uint64_t version);
@@ -63,7 +65,9 @@
         std::optional<core::time_point> behind_since;
     };
 
-    [[nodiscard]] bool has_reachable_reader() const;
+    [[nodiscard]] bool has_reader() const;
+    /** @returns whether the store answers this instance, a single failure aside. */
+    [[nodiscard]] bool store_answers() const;
 
     core::instance_id own_;
     core::region_id region_;
@@ -71,6 +75,9 @@
     const core::clock& time_;
     std::array<table_copy, number_of_replicated_tables> copies_;
     bool calls_answered_ = false;
+    /** Consecutive calls without an answer. An instance that has made no call counts as one that failed. */
+    unsigned failures_ = 1;
+    std::optional<core::time_point> last_answer_;
     bool leaving_ = false;
 };
 
--- a/tests/steering/store_reader_role_test.cpp
+++ b/tests/steering/store_reader_role_test.cpp
@@ -109,6 +109,40 @@
     REQUIRE(region.readers().front() != second);
 }
 
+// Guards against calls of every instance to a store that answers none of them, and against a reader that the
+// store turns away while it answers others.
+TEST_CASE("an instance that the store answers replaces a reader that it turns away")
+{
+    region_fixture region(5);
+    region.advance(milliseconds(600));
+    const auto first = region.readers().front();
+    auto& turned_away = *region.members.at(first);
+    turned_away.role.record_call(false);
+    region.advance(milliseconds(500));
+    REQUIRE(region.readers() == std::vector<std::size_t>{first}); // a single failure
+    turned_away.role.record_call(false);
+    region.advance(milliseconds(1000));
+    REQUIRE(region.readers().size() == 1);
+    REQUIRE(region.readers().front() != first);
+
+    // One after the other fails; in the end one goes on trying.
+    for (std::size_t i = 0; i < 2 * region.members.size(); ++i) {
+        auto& reader = *region.members.at(region.readers().front());
+        reader.role.record_call(false);
+        reader.role.record_call(false);
+        region.advance(milliseconds(500));
+    }
+    REQUIRE(region.readers().size() == 1);
+    std::size_t calling = 0;
+    for (const auto& instance : region.members)
+        calling += instance->role.must_follow_store() ? 1 : 0;
+    REQUIRE(calling == 1);
+    const auto last = region.readers().front();
+    region.members.at(last)->role.record_call(true);
+    region.advance(milliseconds(600));
+    REQUIRE(region.readers() == std::vector<std::size_t>{last});
+}
+
 // Guards against an instance that does not detect that a server leaves, since it receives no messages from
 // other instances.
 TEST_CASE("an instance that is cut off from all others reads the store by itself within two seconds")
