--- a/source/steering/peer_fanout.h
+++ b/source/steering/peer_fanout.h
@@ -13,14 +13,16 @@
 
 /** Decides to which instances this instance sends its messages, and how often.
 
-    A few dozen instances form a full mesh. In a larger installation the messages between regions would cost more than
-    all others, and with large regions the messages of a full mesh would take most of the processor time of a small
-    instance. There, status messages stay within the region, and the hub of each region informs the other regions: it
-    sends them its status and the sums of the loads of its region. Within a region of a few dozen instances, every
-    instance sends its load to every other one; in a larger region it sends it to the hub, which sends the sums back.
+    A few dozen instances form a full mesh. In a larger installation the messages between regions would cost
+   more than all others, and with large regions the messages of a full mesh would take most of the processor
+   time of a small instance. There, status messages stay within the region, and the hub of each region informs
+   the other regions: it sends them its status and the sums of the loads of its region. Within a region of a
+   few dozen instances, every instance sends its load to every other one; in a larger region it sends it to
+   the hub, which sends the sums back.
 
-    The hub of a region is its live instance with the largest capacity; a hash of the name decides between equal
-    ones. While no instance knows it, for instance after a power cut, the estimates rest on the reports of the servers.
+    The hub of a region is its live instance with the largest capacity; a hash of the name decides between
+   equal ones. While no instance knows it, for instance after a power cut, the estimates rest on the reports
+   of the servers.
 */
 class peer_fanout {
 public:
--- a/source/steering/server_choice.cpp
+++ b/source/steering/server_choice.cpp
@@ -35,7 +35,8 @@
     const server_pointer* server = nullptr;
     milliseconds_d expected_time{};
     milliseconds_d wait{};
-    milliseconds_d cost{};    ///< expected time, plus costs of failures and transfer and the order of similar servers
+    milliseconds_d
+        cost{}; ///< expected time, plus costs of failures and transfer and the order of similar servers
     bool needs_fetch = false; ///< the server has to fetch the request's object first
     /** Part of the server's other slots that is free while the request runs. For a server with one slot: 1
        minus its occupancy. */
@@ -91,14 +92,15 @@
                : std::chrono::duration<double>(unanswered) / std::chrono::duration<double>(normal);
 }
 
-/** @returns a cost that orders servers of similar cost for the request, but not those for a large answer: there,
-    the transfer decides. */
+/** @returns a cost that orders servers of similar cost for the request, but not those for a large answer:
+   there, the transfer decides. */
 milliseconds_d order_cost(const choice_request& request, const backend_server& server)
 {
     const auto spread = milliseconds_d(request.run_time) * similar_cost_share;
     if (request.answer_kilobytes * cost_per_kilobyte_same_region > spread)
         return milliseconds_d::zero();
-    const auto hash = mix((request.object_hash != 0 ? request.object_hash : request.random) ^ server.id_hash());
+    const auto hash =
+        mix((request.object_hash != 0 ? request.object_hash : request.random) ^ server.id_hash());
     return spread * (1 - static_cast<double>(hash >> 11U) * 0x1.0p-53);
 }
 
@@ -123,8 +125,7 @@
     result.wait = milliseconds_d(request.run_time) * slowness * queued / slots;
     result.expected_time = milliseconds_d(distances.round_trip(location)) + result.wait + run_time * slowness;
     result.cost = result.expected_time + server->failures().failure_share() * failure_cost +
-                  transfer_cost(request, distances.to(location)) +
-                  order_cost(request, *server);
+                  transfer_cost(request, distances.to(location)) + order_cost(request, *server);
     return result;
 }
 
--- a/source/steering/server_choice.h
+++ b/source/steering/server_choice.h
@@ -40,9 +40,9 @@
 /** Chooses, among the servers with room for a request, the one with the lowest cost: the expected time, plus
    costs for recent failures and for sending a large answer out of the server's data centre or region.
 
-    Servers of similar cost are ordered by a hash of the object and the server, or at random without an object.
-    Otherwise all instances, which estimate the same costs, would send to the same server at the same time; and so the
-    server that fetches an object whose home server is full is the same for all instances.
+    Servers of similar cost are ordered by a hash of the object and the server, or at random without an
+   object. Otherwise all instances, which estimate the same costs, would send to the same server at the same
+   time; and so the server that fetches an object whose home server is full is the same for all instances.
 
     The expected time is the sum of the round trip, the wait for a slot at the server's estimated occupancy,
    and the run time, which is much shorter at a server that has cached the request's object. All instances
--- a/source/steering/service_state.cpp
+++ b/source/steering/service_state.cpp
@@ -43,10 +43,10 @@
     return std::min(sample_divisor, first_sample_divisor + samples);
 }
 
-/** Run times before the first answers, as parts of the target latency. Until caches have filled, a server that has to
-   fetch an object misses the target, and one that has cached it answers in less than half of it. Estimates that are
-   too low fill the queues of a region which has few servers; estimates that differ too little send requests for an
-   object to many servers. */
+/** Run times before the first answers, as parts of the target latency. Until caches have filled, a server
+   that has to fetch an object misses the target, and one that has cached it answers in less than half of it.
+   Estimates that are too low fill the queues of a region which has few servers; estimates that differ too
+   little send requests for an object to many servers. */
 constexpr double assumed_run_share = 0.8;
 constexpr double assumed_familiar_share = 0.4;
 constexpr double assumed_unfamiliar_share = 1.2;
--- a/source/steering/service_state.h
+++ b/source/steering/service_state.h
@@ -12,8 +12,8 @@
 /** This instance's estimates for one service: demand, run times, and the shares of its regions. */
 class service_state {
 public:
-    /** @param target_latency of the service's requests, from which the run times are estimated until the first
-        answers. @param time must outlive this object. */
+    /** @param target_latency of the service's requests, from which the run times are estimated until the
+       first answers. @param time must outlive this object. */
     service_state(state::shift_cap cap, core::duration target_latency, const core::clock& time);
 
     /** @returns the time since the first request for the service. */
--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -33,7 +33,8 @@
 
 constexpr core::milliseconds plan_interval{500};
 
-/** The run times that are assumed at first must end within the timeout of the route, even if its target is late. */
+/** The run times that are assumed at first must end within the timeout of the route, even if its target is
+ * late. */
 constexpr int min_targets_per_timeout = 2;
 
 /** A longer interval between two ticks means that the process stalled, for instance because it was paused. */
@@ -111,7 +112,8 @@
     if (found != services_.end())
         return found->second;
     const state::shift_cap cap{options_.largest_shift * usable_shift_share, options_.shift_window};
-    const auto target = std::min(plan.matched->target_latency, plan.matched->timeout / min_targets_per_timeout);
+    const auto target =
+        std::min(plan.matched->target_latency, plan.matched->timeout / min_targets_per_timeout);
     return services_.emplace(plan.service, service_state(cap, target, time_)).first->second;
 }
 
@@ -344,11 +346,9 @@
     const bool sends_left = plan.sends < plan.matched->max_attempts &&
                             plan.attempts.size() < max_attempts_with_failed_connections;
     if (!sends_left)
-        return refuse_or_fail(plan, core::refusal_reason::server_refused,
-                              state_of(plan).run_time() / 2);
+        return refuse_or_fail(plan, core::refusal_reason::server_refused, state_of(plan).run_time() / 2);
     if (plan.sends > 0 && !exempt_from_budget && !retries_.take(all_callers, plan.service))
-        return refuse_or_fail(plan, core::refusal_reason::retry_budget,
-                              state_of(plan).run_time() / 2);
+        return refuse_or_fail(plan, core::refusal_reason::retry_budget, state_of(plan).run_time() / 2);
     auto step = choose(plan);
     if (on_retry_ && std::holds_alternative<send_step>(step))
         on_retry_(reason);
--- a/tests/platform/soak/free_ports.h
+++ b/tests/platform/soak/free_ports.h
@@ -5,10 +5,11 @@
 
 namespace knapweed::soak {
 
-/** @returns the first of some consecutive ports on loopback that nobody listens at. They lie below the ports that the
-    system gives to outgoing connections, so that a process can listen at its port again after a restart. */
-[[nodiscard]] inline std::uint16_t free_ports(const net::asio::any_io_executor& executor, core::random_source& random,
-                                              std::uint16_t number)
+/** @returns the first of some consecutive ports on loopback that nobody listens at. They lie below the ports
+   that the system gives to outgoing connections, so that a process can listen at its port again after a
+   restart. */
+[[nodiscard]] inline std::uint16_t free_ports(const net::asio::any_io_executor& executor,
+                                              core::random_source& random, std::uint16_t number)
 {
     constexpr std::uint64_t first = 10000;
     constexpr std::uint64_t range = 20000;
--- a/tests/platform/soak/gateway_process.cpp
+++ b/tests/platform/soak/gateway_process.cpp
@@ -55,7 +55,8 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND,
                                      0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1); // the listening sockets of the stand-ins
+    posix_spawn_file_actions_addclosefrom_np(&actions,
+                                             STDERR_FILENO + 1); // the listening sockets of the stand-ins
     std::string option = "--settings";
     std::array<char*, 4> arguments{program_.data(), option.data(), const_cast<char*>(settings.c_str()),
                                    nullptr};
--- a/tests/platform/soak/soak_run.cpp
+++ b/tests/platform/soak/soak_run.cpp
@@ -87,7 +87,8 @@
         store_links_.push_back(std::make_unique<tcp_proxy>(io_.get_executor(), store_.address()));
         const bool in_a = i % 2 == 0;
         gateway_place place{"gateway-" + std::to_string(i), in_a ? "a" : "b", in_a ? "east" : "west",
-                            free_ports(io_.get_executor(), random_, ports_per_gateway), text_of(store_links_.back()->address())};
+                            free_ports(io_.get_executor(), random_, ports_per_gateway),
+                            text_of(store_links_.back()->address())};
         gateways_.push_back(
             std::make_unique<gateway_process>(options_.program, options_.directory, place, history_));
     }
--- a/tests/steering/load_simulation.cpp
+++ b/tests/steering/load_simulation.cpp
@@ -47,7 +47,8 @@
     service.timeout = milliseconds(2500);
     service.time_limit = milliseconds(4000);
     service.late_worth = 0.12 / 1.4;
-    for (const auto& [name, servers] : {std::pair{"short", 3}, std::pair{"middle", 12}, std::pair{"large", 15}}) {
+    for (const auto& [name, servers] :
+         {std::pair{"short", 3}, std::pair{"middle", 12}, std::pair{"large", 15}}) {
         experiment::region_shape region;
         region.name = name;
         region.data_centres = 3;
--- a/tests/steering/load_simulation_test.cpp
+++ b/tests/steering/load_simulation_test.cpp
@@ -44,9 +44,10 @@
     REQUIRE(low_load.all.refused <= 0.05 * low_load.all.requests);
 }
 
-// Guards against estimates and ties that fill caches badly when a large installation starts: a region with a tenth of
-// the servers has callers for 1.5 times what its servers run when they fetch each object, and all instances start
-// without memory, twice. The bound is the minimum that the users state for this kind of request under high load.
+// Guards against estimates and ties that fill caches badly when a large installation starts: a region with a
+// tenth of the servers has callers for 1.5 times what its servers run when they fetch each object, and all
+// instances start without memory, twice. The bound is the minimum that the users state for this kind of
+// request under high load.
 TEST_CASE("a region with few servers earns the stated minimum when all instances start under high load")
 {
     const auto report = simulate_short_region();
--- a/tests/steering/peer_fanout_test.cpp
+++ b/tests/steering/peer_fanout_test.cpp
@@ -180,8 +180,8 @@
     REQUIRE(senders == 11);
 }
 
-// Guards against loads that are older than a run in a region of a few dozen instances, and against messages of every
-// instance to other regions.
+// Guards against loads that are older than a run in a region of a few dozen instances, and against messages
+// of every instance to other regions.
 TEST_CASE("the instances of a small region send their loads to each other, and only the hub to other regions")
 {
     fleet all(66);
