--- a/source/net/message_limits.h
+++ b/source/net/message_limits.h
@@ -7,7 +7,7 @@
 
 /** Maximum number of received bytes of one connection that wait to be parsed, beyond a complete head. It also
    limits a single chunk extension and the trailers of a message, which the parser needs as a whole. */
-inline constexpr std::size_t max_unparsed_bytes = 64 * 1024;
+inline constexpr std::size_t max_unparsed_bytes = std::size_t{64} * 1024;
 
 /** Limits on the parts of a message that are not its body: chunk sizes, chunk extensions and trailers. No
    limit on bodies covers them, so without a limit of their own they could go on without end.
--- a/tests/gateway/endless_input_test.cpp
+++ b/tests/gateway/endless_input_test.cpp
@@ -93,7 +93,7 @@
 // Guards against a server that keeps an instance reading, and exhausts its memory, until the time limit.
 TEST_CASE("an attempt ends when its server sends bytes without end that are no answer")
 {
-    const std::string filler(64 * 1024, 'x');
+    const std::string filler(65536, 'x');
     SECTION("no HTTP at all")
     {
         REQUIRE(answer_from_server("", filler).starts_with("HTTP/1.1 502"));
--- a/tests/platform/soak/server_stand_in.h
+++ b/tests/platform/soak/server_stand_in.h
@@ -18,8 +18,6 @@
     /** @param records and @p history must outlive this object. */
     server_stand_in(net::asio::any_io_executor executor, std::string id, std::string service,
                     request_records& records, event_history& history, std::uint64_t seed);
-    server_stand_in(const server_stand_in&) = delete;
-    server_stand_in& operator=(const server_stand_in&) = delete;
 
     [[nodiscard]] const std::string& id() const noexcept { return id_; }
     [[nodiscard]] const std::string& service() const noexcept { return service_; }
--- a/tests/platform/soak/soak_caller.h
+++ b/tests/platform/soak/soak_caller.h
@@ -16,8 +16,6 @@
     /** @param gateways, @p records and @p history must outlive this object. */
     soak_caller(net::asio::any_io_executor executor, std::string name, const gateway_list& gateways,
                 request_records& records, event_history& history, std::uint64_t seed);
-    soak_caller(const soak_caller&) = delete;
-    soak_caller& operator=(const soak_caller&) = delete;
 
     /** Sends requests until `stop`. */
     net::asio::awaitable<void> run();
--- a/tests/platform/soak/soak_run.cpp
+++ b/tests/platform/soak/soak_run.cpp
@@ -27,7 +27,7 @@
 constexpr unsigned successes_to_end = 10;
 constexpr core::milliseconds longest_recovery{20000};
 constexpr std::uint16_t ports_per_gateway = 5;
-constexpr std::size_t largest_memory_kb = 160 * 1024;
+constexpr std::size_t largest_memory_kb = std::size_t{160} * 1024;
 
 const std::vector<std::string> moved_services{"moved-1", "moved-2", "moved-3"};
 
--- a/tests/platform/soak/store_stand_in.h
+++ b/tests/platform/soak/store_stand_in.h
@@ -16,8 +16,6 @@
 class store_stand_in {
 public:
     explicit store_stand_in(net::asio::any_io_executor executor);
-    store_stand_in(const store_stand_in&) = delete;
-    store_stand_in& operator=(const store_stand_in&) = delete;
 
     [[nodiscard]] net::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
     void put(const std::string& table, const std::string& key, const std::string& value);
--- a/tests/platform/soak/tcp_proxy.h
+++ b/tests/platform/soak/tcp_proxy.h
@@ -15,8 +15,6 @@
 public:
     /** @param target address of the server behind it. */
     tcp_proxy(net::asio::any_io_executor executor, net::tcp::endpoint target);
-    tcp_proxy(const tcp_proxy&) = delete;
-    tcp_proxy& operator=(const tcp_proxy&) = delete;
 
     [[nodiscard]] net::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
     void set_target(net::tcp::endpoint target) { target_ = std::move(target); }
