Log why a read of the store failed, and the path that matched no route

Cause: store_lost looked the same for an answer cut off by a time limit and for one that could not be parsed, and only the first failure was logged; the line of a 404 had neither host nor path. No decision changes.

--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -34,6 +34,8 @@
 constexpr core::milliseconds server_allowance{60};
 constexpr unsigned bad_request = 400;
 constexpr double bytes_per_kilobyte = 1024;
+/** Length to which a caller's host and path are truncated in the log. */
+constexpr std::size_t max_logged_bytes = 128;
 
 } // namespace
 
@@ -379,7 +381,12 @@
         line.add("reason", reason);
     if (retry_after > core::duration::zero())
         line.add_ms("retry_after_ms", retry_after);
-    add_plan(line, plan_, context_.time.now() - exchange_->request().received);
+    const auto& request = exchange_->request();
+    if (plan_.matched == nullptr) {
+        line.add("host", request.field("host").substr(0, max_logged_bytes))
+            .add("path", request.path().substr(0, max_logged_bytes));
+    }
+    add_plan(line, plan_, context_.time.now() - request.received);
     context_.log.info(std::move(line));
 }
 
--- a/source/net/http_client.cpp
+++ b/source/net/http_client.cpp
@@ -27,6 +27,7 @@
     const time_limit limit(executor_, timeout, [&connection] { connection->close(); });
     auto result = co_await exchange(*connection, request, body_limit);
     result.reused_connection = connection->reused();
+    result.timed_out = limit.expired();
     if (result.status == fetch_status::answered)
         connections_.release(std::move(connection));
     co_return result;
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -18,6 +18,7 @@
     std::string body;
     std::uint64_t bytes_sent = 0;
     bool reused_connection = false;
+    bool timed_out = false; ///< a time limit ended the call
 };
 
 /** Sends requests whose small answers are read as a whole: peer messages, probes and platform calls. */
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -227,6 +227,33 @@
     }));
 }
 
+// Guards against a log that can't tell a slow answer from a refused, malformed or missing one.
+TEST_CASE("the result of a failed read states the reason")
+{
+    test::store_fake store;
+    core::boot_clock time;
+    gateway::gateway_metrics metrics;
+    boost::asio::io_context io;
+    net::http_client http(io.get_executor(), std::chrono::seconds(1), metrics, time);
+    const auto read = [&](const std::string& address, test::store_fake::fault fault) {
+        store.set_fault(fault);
+        store_client client(http, address, metrics);
+        read_result result;
+        boost::asio::co_spawn(
+            io, client.follow("op", 0, core::milliseconds(0), core::milliseconds(300)),
+            [&result](const std::exception_ptr&, read_result outcome) { result = std::move(outcome); });
+        io.restart();
+        io.run();
+        return result;
+    };
+    store.put("op", "config", sample_config);
+    REQUIRE(read(store.address(), test::store_fake::fault::none).failure == read_failure::none);
+    REQUIRE(read(store.address(), test::store_fake::fault::refuse).failure == read_failure::refused);
+    REQUIRE(read(store.address(), test::store_fake::fault::garbage).failure == read_failure::malformed);
+    REQUIRE(read(store.address(), test::store_fake::fault::silent).failure == read_failure::timed_out);
+    REQUIRE(read("127.0.0.1:1", test::store_fake::fault::none).failure == read_failure::no_connection);
+}
+
 // Guards against a write that the store refused or did not answer, but that is reported as done.
 TEST_CASE("the status of a write shows whether it was done, refused or lost")
 {
