Add a failing test of configurations that transfer slowly

A read of the store has a time limit for the whole call, 0.5 to 2.1 s, whatever the size of its answer. Change: the scripted server can send at a rate; a configuration of about 1 MB is sent at 450 kB/s, as a change and at the start of an instance. Measured: build/tests/platform_tests "a configuration takes effect*": both sections wait 20 s for configuration 32 in vain. ctest -R platform passes with the test left out.

--- a/tests/net/upstream_fake.cpp
+++ b/tests/net/upstream_fake.cpp
@@ -96,6 +96,21 @@
     }
 }
 
+boost::system::error_code upstream_fake::send(tcp::socket& socket, const scripted_reply& reply) const
+{
+    boost::system::error_code error;
+    const auto piece_bytes = reply.bytes_per_second == 0 ? reply.bytes.size() : reply.bytes_per_second / 50;
+    std::string_view rest = reply.bytes;
+    while (!rest.empty() && !error && !stopped_) {
+        const auto piece = rest.substr(0, std::max<std::size_t>(piece_bytes, 1));
+        asio::write(socket, asio::buffer(piece.data(), piece.size()), error);
+        rest.remove_prefix(piece.size());
+        if (reply.bytes_per_second != 0)
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return error;
+}
+
 void upstream_fake::serve(tcp::socket& socket)
 {
     boost::system::error_code error;
@@ -108,7 +123,7 @@
             requests_.push_back(request);
         }
         const auto reply = script_(request);
-        asio::write(socket, asio::buffer(reply.bytes), error);
+        error = send(socket, reply);
         while (!reply.endless.empty() && !error && !stopped_)
             asio::write(socket, asio::buffer(reply.endless), error);
         if (reply.hang)
--- a/tests/net/upstream_fake.h
+++ b/tests/net/upstream_fake.h
@@ -13,9 +13,10 @@
 /** The reaction of a fake upstream to one request. */
 struct scripted_reply {
     std::string bytes;
-    bool close = false;       ///< close the connection after the bytes
-    bool hang = false;        ///< send the bytes and answer nothing more until the other side closes
-    std::string endless = {}; ///< sent again and again after the bytes until the other side closes
+    bool close = false;               ///< close the connection after the bytes
+    bool hang = false;                ///< send the bytes and answer nothing more until the other side closes
+    std::string endless = {};         ///< sent again and again after the bytes until the other side closes
+    std::size_t bytes_per_second = 0; ///< rate at which the bytes are sent; 0 for no limit
 };
 
 /** A server on loopback that answers each request with raw bytes that a function returns. */
@@ -38,6 +39,8 @@
 private:
     void accept();
     void serve(boost::asio::ip::tcp::socket& socket);
+    [[nodiscard]] boost::system::error_code send(boost::asio::ip::tcp::socket& socket,
+                                                 const scripted_reply& reply) const;
 
     std::function<scripted_reply(const std::string&)> script_;
     boost::asio::io_context io_;
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 #include <future>
+#include <nlohmann/json.hpp>
 #include <thread>
 
 using namespace knapweed;
@@ -23,6 +24,20 @@
   "services":{"s1":{"healthPath":"/health","maxConns":360,"coldStartS":3.0,"coldPerS":9.7},"s2":{}},
   "limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
 
+/** @returns a configuration with version 32 and many routes, about 1 MB. */
+std::string large_config()
+{
+    auto document = nlohmann::json::parse(sample_config);
+    document["version"] = "00000020";
+    const auto route = document["routes"]["r-1"];
+    for (int i = 0; i < 4000; ++i) {
+        const auto name = "r-more-" + std::to_string(i);
+        document["routes"][name] = route;
+        document["routes"][name]["prefix"] = "/more-" + std::to_string(i) + "/";
+    }
+    return document.dump();
+}
+
 std::string sample_entry(const std::string& state = "ready", const std::string& more = "")
 {
     return R"({"address":"127.0.0.1:9","info":{"service":"s1","version":"v1","zone":"kl-a","slots":3},"status":{"state":")" +
@@ -100,9 +115,11 @@
 /** A gateway that follows a fake store and has no listeners. */
 class store_watcher_fixture {
 public:
-    store_watcher_fixture()
+    explicit store_watcher_fixture(const std::string& config = sample_config,
+                                   std::size_t store_bytes_per_second = 0)
     {
-        store.put("op", "config", sample_config);
+        store.set_rate(store_bytes_per_second);
+        store.put("op", "config", config);
         for (const auto* id : {"i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7"})
             store.put("servers", id, sample_entry());
         store.put("servers", "i-broken", "{}");
@@ -192,6 +209,29 @@
     }
 }
 
+// Guards against a configuration that never takes effect because its transfer exceeds the time limit of a
+// call.
+TEST_CASE("a configuration takes effect however long a steady transfer takes")
+{
+    constexpr std::size_t slow_link_bytes_per_second = 450000;
+    const auto is_in_force = [](steering::steerer& steerer) {
+        return steerer.policy() != nullptr && steerer.policy()->version == 0x20;
+    };
+    SECTION("as a change of an earlier one")
+    {
+        store_watcher_fixture fixture;
+        REQUIRE(fixture.wait_for_usable(7));
+        fixture.store.set_rate(slow_link_bytes_per_second);
+        fixture.store.put("op", "config", large_config());
+        REQUIRE(fixture.wait_for(is_in_force));
+    }
+    SECTION("at the start of an instance")
+    {
+        store_watcher_fixture fixture(large_config(), slow_link_bytes_per_second);
+        REQUIRE(fixture.wait_for(is_in_force));
+    }
+}
+
 // Guards against an instance that does not follow the store and does not detect that it has missed a
 // broadcast change.
 TEST_CASE("an instance whose region has another reader reads a missed change from the store")
--- a/tests/platform/store_fake.cpp
+++ b/tests/platform/store_fake.cpp
@@ -43,6 +43,19 @@
     fault_ = new_fault;
 }
 
+void store_fake::set_rate(std::size_t bytes_per_second)
+{
+    const std::lock_guard lock(mutex_);
+    bytes_per_second_ = bytes_per_second;
+}
+
+scripted_reply store_fake::reply_with(const std::string& body) const
+{
+    scripted_reply reply{make_reply("200 OK", "", body)};
+    reply.bytes_per_second = bytes_per_second_;
+    return reply;
+}
+
 bool store_fake::has(const std::string& name, const std::string& key) const
 {
     const std::lock_guard lock(mutex_);
@@ -128,10 +141,10 @@
                 return {make_reply("200 OK", "", "{\"ver\":" + std::to_string(version_) + ",\"nowMs\":1}")};
             }
             if (!is_feed)
-                return {make_reply("200 OK", "", list(target))};
+                return reply_with(list(target));
             auto changes = feed(target);
             if (changes.find("\"rows\":[]") == std::string::npos || rounds == 20)
-                return {make_reply("200 OK", "", changes)};
+                return reply_with(changes);
         }
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
     }
--- a/tests/platform/store_fake.h
+++ b/tests/platform/store_fake.h
@@ -21,6 +21,8 @@
     void put(const std::string& table, const std::string& key, const std::string& value);
     void remove(const std::string& table, const std::string& key);
     void set_fault(fault new_fault);
+    /** Sets the rate at which answers are sent. @param bytes_per_second 0 for no limit. */
+    void set_rate(std::size_t bytes_per_second);
     /** @returns whether a row exists and has not been removed. */
     [[nodiscard]] bool has(const std::string& table, const std::string& key) const;
     /** @returns the number of calls received so far. */
@@ -35,6 +37,7 @@
     using table = std::map<std::string, row>;
 
     scripted_reply answer(const std::string& request);
+    [[nodiscard]] scripted_reply reply_with(const std::string& body) const;
     [[nodiscard]] std::string list(const std::string& target) const;
     [[nodiscard]] std::string feed(const std::string& target);
     void write(const std::string& request);
@@ -45,6 +48,7 @@
     std::map<std::string, table> tables_;
     std::uint64_t version_ = 0;
     fault fault_ = fault::none;
+    std::size_t bytes_per_second_ = 0;
     upstream_fake server_;
 };
 
