Limit the silence of a store's answer, not the time of its transfer

Cause: a read of the store had one time limit for the whole call, 0.5 s for an instance that is not a reader and 2.1 s for a reader, meant to detect a connection that has gone silent. An answer whose transfer takes longer was cut off and requested again from its first byte, for ever: the transfer can't finish however often it is repeated, and the repetitions load the link. Class of fault: a time limit on work whose size is not bounded, with a retry that starts from nothing. Weighed and left: a longer limit (another cliff), sending the rows between instances in parts (a second transport for what the store serves), reading only changed routes (the store has one row).

--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -21,7 +21,16 @@
     bool timed_out = false; ///< a time limit ended the call
 };
 
-/** Sends requests whose small answers are read as a whole: peer messages, probes and platform calls. */
+/** Limits of a call whose answer may be large. The time of its body is not limited as a whole, because a
+   limit that is too short for one transfer would be too short for every repetition of it. */
+struct fetch_limits {
+    core::duration answer;                     ///< until the head of the answer is read, connecting included
+    core::duration silence;                    ///< until the next part of the body is read
+    std::size_t min_body_bytes_per_second = 1; ///< a body that is slower over its whole length is given up
+    std::size_t max_body_bytes = 0;            ///< a larger answer counts as `lost`
+};
+
+/** Sends requests whose answers are read as a whole: peer messages, probes and platform calls. */
 class http_client {
 public:
     /** @param time must outlive this object. @param connect_limit time limit for opening a connection;
@@ -35,13 +44,22 @@
     asio::awaitable<fetch_result> fetch(std::string address, outgoing_request request, core::duration timeout,
                                         std::size_t body_limit);
 
+    /** Sends a request and reads its whole answer, however long a steady transfer takes.
+        @param request its body must outlive the call. */
+    asio::awaitable<fetch_result> fetch(std::string address, outgoing_request request, fetch_limits limits);
+
     [[nodiscard]] connection_pool& connections() noexcept { return connections_; }
 
 private:
+    class call_timer;
+
+    asio::awaitable<fetch_result> call(std::string address, outgoing_request request, fetch_limits limits,
+                                       bool limit_whole_call);
     asio::awaitable<fetch_result> exchange(client_connection& connection, const outgoing_request& request,
-                                           std::size_t body_limit);
+                                           const fetch_limits& limits, call_timer& timer);
 
     asio::any_io_executor executor_;
+    const core::clock& time_;
     connection_pool connections_;
     std::optional<core::duration> connect_limit_;
 };
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -232,6 +232,31 @@
     }
 }
 
+// Guards against a read that waits for ever for the rest of an answer.
+TEST_CASE("a read ends when the answer stops or only trickles")
+{
+    core::boot_clock time;
+    gateway::gateway_metrics metrics;
+    boost::asio::io_context io;
+    net::http_client http(io.get_executor(), std::chrono::seconds(1), metrics, time);
+    const auto head = "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + std::string(3000, ' ');
+    const std::size_t trickle_bytes_per_second = GENERATE(0U, 4000U);
+    const test::upstream_fake store([&](const auto&) {
+        test::scripted_reply reply{head + std::string(trickle_bytes_per_second * 20, ' '), false, true};
+        reply.bytes_per_second = trickle_bytes_per_second;
+        return reply;
+    });
+    store_client client(http, store.address(), metrics);
+    read_result result;
+    const auto began = time.now();
+    boost::asio::co_spawn(
+        io, client.follow("op", 0, core::milliseconds(0), core::milliseconds(300)),
+        [&result](const std::exception_ptr&, read_result outcome) { result = std::move(outcome); });
+    io.run();
+    REQUIRE(result.failure == read_failure::timed_out);
+    REQUIRE(time.now() - began < std::chrono::seconds(5));
+}
+
 // Guards against an instance that does not follow the store and does not detect that it has missed a
 // broadcast change.
 TEST_CASE("an instance whose region has another reader reads a missed change from the store")
