Refuse an unknown path only for now while a newer configuration is on its way

An instance that knew from its peers that its configuration was outdated still answered 404 for a path without a route, which tells the caller never to come back. A fact is absent only in the whole of the newest version. Change: while another instance has a newer change of the operators' table, such a request is refused with 503 and Retry-After (configuration_outdated); 404 returns with the copy that is up to date. Weighed and left: 503 for every unknown path while the store is unreachable, since then no instance knows of anything newer. Measured: steering_tests "an unknown path*" failed before (404 at its third check), passes now; all steering_tests pass.

--- a/source/core/reasons.h
+++ b/source/core/reasons.h
@@ -33,19 +33,41 @@
     not_pool_owner,
     cancelled_by_caller,
     no_configuration,
-    no_free_slot
+    no_free_slot,
+    configuration_outdated
 };
 
 template <>
 struct names_of<refusal_reason> {
-    static constexpr std::array<std::string_view, 28> table{
-        "malformed_request", "unknown_service",     "unknown_path",      "body_too_large",
-        "header_too_large",  "damaged_ticket",      "ticket_expired",    "key_reused",
-        "owner_lost",        "witness_unavailable", "claim_unavailable", "record_table_full",
-        "no_backend_server", "no_credit",           "queue_full",        "deadline_unmeetable",
-        "expired_in_queue",  "shift_cap",           "link_budget",       "retry_budget",
-        "quarantined",       "server_refused",      "overloaded",        "leaving",
-        "not_pool_owner",    "cancelled_by_caller", "no_configuration",  "no_free_slot"};
+    static constexpr std::array<std::string_view, 29> table{"malformed_request",
+                                                            "unknown_service",
+                                                            "unknown_path",
+                                                            "body_too_large",
+                                                            "header_too_large",
+                                                            "damaged_ticket",
+                                                            "ticket_expired",
+                                                            "key_reused",
+                                                            "owner_lost",
+                                                            "witness_unavailable",
+                                                            "claim_unavailable",
+                                                            "record_table_full",
+                                                            "no_backend_server",
+                                                            "no_credit",
+                                                            "queue_full",
+                                                            "deadline_unmeetable",
+                                                            "expired_in_queue",
+                                                            "shift_cap",
+                                                            "link_budget",
+                                                            "retry_budget",
+                                                            "quarantined",
+                                                            "server_refused",
+                                                            "overloaded",
+                                                            "leaving",
+                                                            "not_pool_owner",
+                                                            "cancelled_by_caller",
+                                                            "no_configuration",
+                                                            "no_free_slot",
+                                                            "configuration_outdated"};
 };
 
 /** Why the outcome of a request is unknown: it may have been run, at most once. */
--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -123,8 +123,12 @@
         return refuse_step{core::refusal_reason::no_configuration, retry_after_without_servers};
     plan.policy = routes_->policy();
     plan.matched = routes_->find(facts.host, facts.path);
-    if (plan.matched == nullptr)
+    if (plan.matched == nullptr) {
+        // The path may belong to a route of the newer configuration.
+        if (store_role_.is_outdated(replicated_table::operators))
+            return refuse_step{core::refusal_reason::configuration_outdated, retry_after_without_servers};
         return refuse_step{core::refusal_reason::unknown_path, {}};
+    }
     const auto* service = shares_.next(*plan.matched);
     if (service == nullptr)
         return refuse_step{core::refusal_reason::unknown_service, retry_after_without_servers};
--- a/source/steering/store_reader_role.cpp
+++ b/source/steering/store_reader_role.cpp
@@ -75,6 +75,11 @@
     last_answer_ = time_.now();
 }
 
+bool store_reader_role::is_outdated(replicated_table table) const
+{
+    return copies_.at(index_of(table)).behind_since.has_value();
+}
+
 bool store_reader_role::is_behind(replicated_table table) const
 {
     const auto& since = copies_.at(index_of(table)).behind_since;
--- a/source/steering/store_reader_role.h
+++ b/source/steering/store_reader_role.h
@@ -28,6 +28,8 @@
     [[nodiscard]] bool is_reader() const;
     /** @returns whether this instance has to watch the store now. */
     [[nodiscard]] bool must_follow_store() const { return is_reader() || !has_reader(); }
+    /** @returns whether another instance has a change that this instance has not received. */
+    [[nodiscard]] bool is_outdated(replicated_table table) const;
     /** @returns whether another instance has a change that this instance should have received by now. */
     [[nodiscard]] bool is_behind(replicated_table table) const;
 
--- a/tests/steering/steerer_test.cpp
+++ b/tests/steering/steerer_test.cpp
@@ -191,3 +191,31 @@
     REQUIRE(fixture.steerer.tick() >= milliseconds(4000));
     REQUIRE(fixture.steerer.servers().find(core::server_id{"s0"})->cold_start().is_cold());
 }
+
+// Guards against a final refusal by an instance that has not received the configuration with the route yet.
+TEST_CASE("an unknown path is refused for good only with the newest configuration that any instance knows")
+{
+    test::steerer_fixture fixture;
+    REQUIRE(fixture.steerer.apply(test::sample_policy()));
+    fixture.steerer.store_role().set_table_version(replicated_table::operators, 5, 5);
+    const auto refusal_of_new_path = [&fixture] {
+        request_plan plan;
+        const request_facts facts{"shop.example", "/new/1", 0, fixture.time.now(), core::milliseconds(1200)};
+        return std::get<refuse_step>(fixture.steerer.begin(facts, plan));
+    };
+    REQUIRE(refusal_of_new_path().reason == core::refusal_reason::unknown_path);
+
+    instance_status peer;
+    peer.instance = core::instance_id{"i2"};
+    peer.location = test::sample_location();
+    peer.incarnation = {1};
+    peer.sequence = 1;
+    peer.store.newest_change.at(index_of(replicated_table::operators)) = 6;
+    fixture.steerer.peers().update(peer);
+    (void)fixture.steerer.tick();
+    REQUIRE(refusal_of_new_path().reason == core::refusal_reason::configuration_outdated);
+    REQUIRE(refusal_of_new_path().retry_after > core::duration::zero());
+
+    fixture.steerer.store_role().set_table_version(replicated_table::operators, 6, 6);
+    REQUIRE(refusal_of_new_path().reason == core::refusal_reason::unknown_path);
+}
