Log why no connection to a server could be used

Change: each attempt states connecting: timed_out, refused, limited or other; the counter upstream_connections_failed counts them. No decision changes. Measured: gateway_tests, steering_tests and net_tests pass; the new test did not compile before.

--- a/source/gateway/answer_rules.cpp
+++ b/source/gateway/answer_rules.cpp
@@ -52,6 +52,19 @@
     return reason == core::unknown_reason::server_timeout ? gateway_timeout : bad_gateway;
 }
 
+steering::connect_failure classify_connect_error(const boost::system::error_code& error, bool limit_expired)
+{
+    using steering::connect_failure;
+    namespace errc = boost::system::errc;
+    if (!error)
+        return connect_failure::none;
+    if (limit_expired || error == errc::timed_out)
+        return connect_failure::timed_out;
+    if (error == errc::connection_refused || error == errc::connection_reset)
+        return connect_failure::refused;
+    return connect_failure::other;
+}
+
 bool is_hop_by_hop(std::string_view field, std::string_view connection_options)
 {
     const auto is_field = [field](std::string_view name) { return is_same_field(field, name); };
--- a/source/gateway/answer_rules.h
+++ b/source/gateway/answer_rules.h
@@ -2,6 +2,8 @@
 
 #include "steering/request_plan.h"
 
+#include <boost/system/error_code.hpp>
+
 namespace knapweed::gateway {
 
 /** Properties of an answer's head that decide whether the answer is genuine and belongs to the request. */
@@ -32,6 +34,10 @@
 /** @returns the HTTP status for a request whose outcome is unknown. */
 [[nodiscard]] unsigned status_of(core::unknown_reason reason);
 
+/** @param limit_expired the connection was closed because its time limit had passed. */
+[[nodiscard]] steering::connect_failure classify_connect_error(const boost::system::error_code& error,
+                                                               bool limit_expired);
+
 /** @returns whether a header field applies to a single connection and must not be forwarded.
     @param connection_options value of the message's Connection field, which may list more such fields. */
 [[nodiscard]] bool is_hop_by_hop(std::string_view field, std::string_view connection_options);
--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -152,12 +152,17 @@
     must_discard_connection_ = false;
     connection_ =
         context_.connections.acquire(server.record().address, step.connection_limit, step.longest_idle);
-    if (!connection_)
+    if (!connection_) {
+        result.connecting = steering::connect_failure::limited;
         co_return result;
+    }
     if (!connection_->connected()) {
-        const auto connect_error = co_await open_connection(server);
-        if (connect_error)
+        result.connecting = co_await open_connection(server);
+        result.taken = context_.time.now() - started;
+        if (result.connecting != steering::connect_failure::none) {
+            context_.metrics.add(net::counter::upstream_connections_failed);
             co_return result;
+        }
     }
     if (exchange_->caller_disconnected() || timed_out_)
         co_return result;
@@ -173,7 +178,8 @@
     co_return result;
 }
 
-asio::awaitable<net::error_code> forwarded_request::open_connection(steering::backend_server& server)
+asio::awaitable<steering::connect_failure>
+forwarded_request::open_connection(steering::backend_server& server)
 {
     const steering::network_location server_location{server.record().data_centre, server.region()};
     const auto round_trip = context_.steerer.distances().round_trip(server_location);
@@ -183,7 +189,7 @@
     const auto error = co_await connection_->connect();
     if (!error)
         context_.steerer.distances().observe(server_location, context_.time.now() - started);
-    co_return error;
+    co_return classify_connect_error(error, connect_limit.expired());
 }
 
 attempt_outcome forwarded_request::outcome_without_answer() const
--- a/source/gateway/forwarded_request.h
+++ b/source/gateway/forwarded_request.h
@@ -51,7 +51,7 @@
     void abort_attempt();
 
     net::asio::awaitable<steering::attempt_result> try_server(const steering::send_step& step);
-    net::asio::awaitable<net::error_code> open_connection(steering::backend_server& server);
+    net::asio::awaitable<steering::connect_failure> open_connection(steering::backend_server& server);
     net::asio::awaitable<steering::attempt_outcome> send_and_receive(const steering::backend_server& server);
     /** Reads the head of the answer to this request and skips answers to earlier ones.
         @returns false when the connection failed or too many answers were skipped. */
--- a/source/gateway/request_log.cpp
+++ b/source/gateway/request_log.cpp
@@ -27,6 +27,8 @@
             .add_ms("expected_ms", attempt.expected_time)
             .add("outcome", core::name_of(attempt.outcome))
             .add_ms("taken_ms", attempt.taken);
+        if (attempt.connecting != steering::connect_failure::none)
+            attempt_json.add("connecting", core::name_of(attempt.connecting));
         attempts_json += (attempts_json.empty() ? "" : ",") + attempt_json.str();
     }
     line.add_raw("attempts", "[" + attempts_json + "]");
--- a/source/net/metrics.h
+++ b/source/net/metrics.h
@@ -17,6 +17,7 @@
     upstream_connections_opened,
     upstream_connections_stale,
     upstream_connections_limited,
+    upstream_connections_failed,
     peer_messages_sent,
     peer_messages_received,
     peer_messages_malformed,
@@ -64,7 +65,7 @@
 
 template <>
 struct names_of<net::counter> {
-    static constexpr std::array<std::string_view, 28> table{"connections_accepted",
+    static constexpr std::array<std::string_view, 29> table{"connections_accepted",
                                                             "connections_refused",
                                                             "requests_received",
                                                             "requests_malformed",
@@ -75,6 +76,7 @@
                                                             "upstream_connections_opened",
                                                             "upstream_connections_stale",
                                                             "upstream_connections_limited",
+                                                            "upstream_connections_failed",
                                                             "peer_messages_sent",
                                                             "peer_messages_received",
                                                             "peer_messages_malformed",
--- a/source/steering/request_plan.h
+++ b/source/steering/request_plan.h
@@ -18,9 +18,19 @@
     unfinished       ///< no result, because the caller closed its connection first
 };
 
+/** Why no connection to a server could be used. */
+enum class connect_failure {
+    none,
+    timed_out, ///< the other side did not respond
+    refused,   ///< nothing accepts connections at the address, or the connection was reset
+    limited,   ///< this instance has as many connections to the server as it may have
+    other
+};
+
 /** The gateway's report on an attempt that has ended. */
 struct attempt_result {
     attempt_outcome outcome = attempt_outcome::not_connected;
+    connect_failure connecting = connect_failure::none;
     std::optional<load_report> load;                       ///< from the server's answer
     std::optional<core::milliseconds> remaining_cold_time; ///< from the server's answer
     core::duration taken{};                                ///< from the start of the attempt to its result
@@ -37,6 +47,7 @@
     core::duration expected_wait{};           ///< part of `expected_time` that is spent in the server's queue
     core::duration expected_time{};           ///< from sending the request to its answer
     attempt_outcome outcome = attempt_outcome::unfinished;
+    connect_failure connecting = connect_failure::none;
     core::duration taken{};
 };
 
@@ -95,4 +106,10 @@
         "connection_lost", "answer_invalid", "timed_out",     "unfinished"};
 };
 
+template <>
+struct names_of<steering::connect_failure> {
+    static constexpr std::array<std::string_view, 5> table{"none", "timed_out", "refused", "limited",
+                                                           "other"};
+};
+
 } // namespace knapweed::core
--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -272,6 +272,7 @@
         return;
     auto& attempt = plan.attempts.back();
     attempt.outcome = result.outcome;
+    attempt.connecting = result.connecting;
     attempt.taken = result.taken;
     if (result.outcome == attempt_outcome::answered && attempt.expected_time.count() > 0)
         server.speed().observe(result.taken, attempt.expected_time);
--- a/tests/gateway/parts_test.cpp
+++ b/tests/gateway/parts_test.cpp
@@ -172,3 +172,19 @@
     REQUIRE(text.find("knapweed_refusals_total{reason=\"no_free_slot\"} 1") != std::string::npos);
     REQUIRE(text.find("knapweed_answer_seconds_bucket") != std::string::npos);
 }
+
+// Guards against a log in which a silent server looks like one that is not running.
+TEST_CASE("a failed connection is classified by its cause")
+{
+    using steering::connect_failure;
+    namespace errc = boost::system::errc;
+    const auto error = [](errc::errc_t value) { return errc::make_error_code(value); };
+    REQUIRE(gateway::classify_connect_error({}, false) == connect_failure::none);
+    REQUIRE(gateway::classify_connect_error(error(errc::operation_canceled), true) ==
+            connect_failure::timed_out);
+    REQUIRE(gateway::classify_connect_error(error(errc::connection_refused), false) ==
+            connect_failure::refused);
+    REQUIRE(gateway::classify_connect_error(error(errc::connection_reset), false) ==
+            connect_failure::refused);
+    REQUIRE(gateway::classify_connect_error(error(errc::host_unreachable), false) == connect_failure::other);
+}
