--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -9,28 +9,6 @@
 /** Part of `largest_shift` that the limiter may use. The rest allows for random variation, which is large in
    windows of a few hundred requests. */
 constexpr double usable_shift_share = 0.6;
-/** Part of `retry_ratio` that each instance may use for its own requests. The other half covers windows that
-   begin between a request and its retry. */
-constexpr double usable_retry_ratio = 0.5;
-/** Part of `retry_extra` that is divided among the instances. */
-constexpr double usable_retry_extra = 0.9;
-/** Upper limit of the retries that an instance may send at once for a service. */
-constexpr unsigned max_retry_burst = 3;
-constexpr double tenths_per_unit = 10;
-
-decision::retry_budget_options make_retry_options(const steerer_options& options)
-{
-    decision::retry_budget_options retries;
-    retries.tenths_per_request =
-        static_cast<unsigned>(options.retry_ratio * usable_retry_ratio * tenths_per_unit);
-    retries.burst = max_retry_burst;
-    retries.buckets = 1000;
-    return retries;
-}
-
-/** Requests carry no caller identity here, so each service has one retry budget for all callers. */
-const core::caller_id all_callers{"all"};
-
 constexpr core::milliseconds plan_interval{500};
 
 /** The run times that are assumed at first must end within the timeout of the route, even if its target is
@@ -89,7 +67,7 @@
       fanout_(options_.instance, options_.location.region, options_.capacity, peers_, time),
       cold_senders_(options_.instance, options_.location.region, peers_, time), distances_(options_.location),
       links_(servers_, time), planner_(options_.location.region, servers_, peers_),
-      retries_(make_retry_options(options_), time), last_tick_(time.now())
+      retries_(options_.retry_ratio, options_.retry_extra, time), last_tick_(time.now())
 {}
 
 bool steerer::apply(traffic_policy policy)
@@ -139,7 +117,7 @@
         facts.received + std::min(plan.matched->timeout, facts.time_limit.value_or(plan.matched->timeout));
     auto& state = state_of(plan);
     state.demand().record_arrival();
-    retries_.request_received(all_callers, plan.service);
+    retries_.request_received(plan.service);
     if (state.regions().weights().empty())
         planner_.plan(plan.service, state);
     plan.region = state.regions().next().value_or(options_.location.region);
@@ -366,7 +344,7 @@
                             plan.attempts.size() < max_attempts_with_failed_connections;
     if (!sends_left)
         return refuse_or_fail(plan, core::refusal_reason::server_refused, state_of(plan).run_time() / 2);
-    if (plan.sends > 0 && !exempt_from_budget && !retries_.take(all_callers, plan.service))
+    if (plan.sends > 0 && !exempt_from_budget && !retries_.take(plan.service))
         return refuse_or_fail(plan, core::refusal_reason::retry_budget, state_of(plan).run_time() / 2);
     auto step = choose(plan);
     if (on_retry_ && std::holds_alternative<send_step>(step))
@@ -374,15 +352,6 @@
     return step;
 }
 
-/** Sets this instance's retry burst to its share, so that the bursts of all instances together stay below
-   `retry_extra`. */
-void steerer::update_retry_burst()
-{
-    const double share =
-        options_.retry_extra * usable_retry_extra / static_cast<double>(peers_.known_peers() + 1);
-    retries_.set_burst(std::clamp(static_cast<unsigned>(share), 1U, max_retry_burst));
-}
-
 void steerer::attempt_abandoned(backend_server& server)
 {
     server.occupancy().request_ended();
@@ -402,7 +371,7 @@
     if (stalled)
         servers_.assume_all_cold(assumed_cold_after_stall);
     peers_.tick();
-    update_retry_burst();
+    retries_.set_instances(peers_.known_peers() + 1);
     store_role_.tick();
     fanout_.tick(store_role_.is_leaving());
     servers_.set_store_reachable(store_role_.store_reachable());
--- a/source/steering/steerer.h
+++ b/source/steering/steerer.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "decision/retry_budget.h"
 #include "steering/cold_sender_selector.h"
 #include "steering/link_monitor.h"
 #include "steering/peer_fanout.h"
@@ -8,6 +7,7 @@
 #include "steering/peer_table.h"
 #include "steering/region_planner.h"
 #include "steering/request_plan.h"
+#include "steering/retry_allowance.h"
 #include "steering/route_table.h"
 #include "steering/server_catalogue.h"
 #include "steering/service_state.h"
@@ -109,7 +109,6 @@
     [[nodiscard]] std::vector<server_pointer> allowed_servers(const request_plan& plan) const;
     [[nodiscard]] std::size_t recent_object_limit() const;
     [[nodiscard]] std::size_t connection_limit(const request_plan& plan) const;
-    void update_retry_burst();
     void record_result(request_plan& plan, backend_server& server, const attempt_result& result);
 
     steerer_options options_;
@@ -126,7 +125,7 @@
     distance_table distances_;
     link_monitor links_;
     region_planner planner_;
-    decision::retry_budget retries_;
+    retry_allowance retries_;
     std::unordered_map<core::service_id, service_state> services_;
     std::unordered_map<std::string, double> answer_kilobytes_; ///< expected size, by route name
     retry_hook on_retry_;
--- a/source/steering/steering.h
+++ b/source/steering/steering.h
@@ -19,6 +19,7 @@
 #include "steering/region_plan.h"
 #include "steering/region_planner.h"
 #include "steering/request_plan.h"
+#include "steering/retry_allowance.h"
 #include "steering/route_table.h"
 #include "steering/server_catalogue.h"
 #include "steering/server_choice.h"
