Tell the loss of an instance's paths from the failure of servers

Cause: an instance had no notion of its own paths: each failed connection counted against one server. Change: link_monitor, sans I/O: failed connections to two servers within a second, or silence of all servers that owe answers, raise a doubt; then samples over the data centres are probed by connecting; eight servers probed in vain and none connected mean that the paths are cut; most servers of two samples connected end it. Not used yet.

--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -66,7 +66,8 @@
       store_role_(options_.instance, options_.location.region, peers_, time),
       fanout_(options_.instance, options_.location.region, options_.capacity, peers_, time),
       cold_senders_(options_.instance, options_.location.region, peers_, time), distances_(options_.location),
-      links_(servers_, time), planner_(options_.location.region, servers_, peers_),
+      links_(options_.location.data_centre, servers_, time, options_.seed),
+      planner_(options_.location.region, servers_, peers_),
       retries_(options_.retry_ratio, options_.retry_extra, time), last_tick_(time.now())
 {}
 
