--- a/tests/platform/soak/gateway_process.cpp
+++ b/tests/platform/soak/gateway_process.cpp
@@ -39,8 +39,10 @@
     file << "[instance]\nname = " << place_.name << "\ndata_centre = " << place_.data_centre
          << "\nregion = " << place_.region << "\n[listen]\ncallers = " << address(0)
          << "lookups = " << address(1) << "readiness = " << address(2) << "metrics = " << address(3)
-         << "peers = " << address(4) << "[platform]\nstore = " << place_.store_address
-         << "\n[timing]\ngrace_ms = " << grace_period.count() << "\n[data_centres]\na = east\nb = west\n";
+         << "peers = " << address(peer_port_offset) << "[platform]\nstore = " << place_.store_address
+         << "\n[timing]\ngrace_ms = " << grace_period.count() << "\n[data_centres]\n";
+    for (const auto& [data_centre, region] : place_.data_centres)
+        file << data_centre << " = " << region << "\n";
 }
 
 void gateway_process::start()
--- a/tests/platform/soak/gateway_process.h
+++ b/tests/platform/soak/gateway_process.h
@@ -3,10 +3,16 @@
 #include "event_history.h"
 #include "net/asio_types.h"
 
+#include <string>
 #include <sys/types.h>
+#include <utility>
+#include <vector>
 
 namespace knapweed::soak {
 
+/** Offset of the peers' port from the first one. */
+inline constexpr std::uint16_t peer_port_offset = 4;
+
 /** Addresses and place of one gateway; they stay the same when its process is replaced. */
 struct gateway_place {
     std::string name;
@@ -14,6 +20,8 @@
     std::string region;
     std::uint16_t first_port = 0; ///< callers; look-ups, readiness, metrics and peers follow
     std::string store_address;
+    /** All data centres with their regions. */
+    std::vector<std::pair<std::string, std::string>> data_centres{{"a", "east"}, {"b", "west"}};
 };
 
 /** The real gateway as a process of its own, controlled by signals. */
--- a/tests/platform/soak/soak_caller.cpp
+++ b/tests/platform/soak/soak_caller.cpp
@@ -17,9 +17,7 @@
 constexpr core::milliseconds answer_limit{2500};
 constexpr core::milliseconds time_left{1500}; ///< that a request states
 constexpr core::milliseconds pause_after_failed_connect{30};
-constexpr std::uint64_t longest_pause_ms = 40;
 constexpr double share_of_non_idempotent = 0.4;
-constexpr double share_that_leaves_early = 0.04;
 constexpr core::milliseconds early{15};
 constexpr std::uint64_t largest_body = 20000;
 
@@ -40,9 +38,10 @@
 } // namespace
 
 soak_caller::soak_caller(asio::any_io_executor executor, std::string name, const gateway_list& gateways,
-                         request_records& records, event_history& history, std::uint64_t seed)
+                         request_records& records, event_history& history, std::uint64_t seed,
+                         caller_habits habits)
     : executor_(std::move(executor)), name_(std::move(name)), gateways_(gateways), records_(records),
-      history_(history), random_(seed)
+      history_(history), random_(seed), habits_(habits)
 {}
 
 asio::awaitable<void> soak_caller::run()
@@ -51,12 +50,14 @@
     while (!stopped_) {
         if (!socket_ && !co_await connect()) {
             successes_in_a_row_ = 0;
+            failed_connects_.push_back(history_.elapsed());
             pause.expires_after(pause_after_failed_connect);
             co_await pause.async_wait(net::as_result);
             continue;
         }
         co_await exchange();
-        pause.expires_after(core::milliseconds(random_.below(longest_pause_ms)));
+        pause.expires_after(
+            core::milliseconds(random_.below(static_cast<std::uint64_t>(habits_.longest_pause.count()))));
         co_await pause.async_wait(net::as_result);
     }
 }
@@ -95,7 +96,7 @@
     const auto id = name_ + "-" + std::to_string(++sent_);
     auto& record = records_[id];
     const auto text = make_request(id, record);
-    const bool leaves_early = random_.fraction() < share_that_leaves_early;
+    const bool leaves_early = random_.fraction() < habits_.share_that_leaves_early;
     record.sent = history_.elapsed();
     const net::time_limit limit(executor_, leaves_early ? early : answer_limit, [this] { socket_->close(); });
     const auto [write_error, written] =
--- a/tests/platform/soak/store_stand_in.cpp
+++ b/tests/platform/soak/store_stand_in.cpp
@@ -172,11 +172,17 @@
 
 void store_stand_in::apply(const json& transaction)
 {
-    for (const auto& write : transaction.at("writes"))
-        put(write.at("tableName"), write.at("key"),
-            platform::decode_base64(write.at("value").get<std::string>()));
-    for (const auto& removal : transaction.at("remove"))
+    for (const auto& write : transaction.at("writes")) {
+        const auto value = platform::decode_base64(write.at("value").get<std::string>());
+        put(write.at("tableName"), write.at("key"), value);
+        if (on_write_)
+            on_write_(write.at("tableName"), write.at("key"), value);
+    }
+    for (const auto& removal : transaction.at("remove")) {
         remove(removal.at("tableName"), removal.at("key"));
+        if (on_write_)
+            on_write_(removal.at("tableName"), removal.at("key"), std::nullopt);
+    }
 }
 
 asio::awaitable<void> store_stand_in::apply_later(json transaction)
--- a/tests/platform/soak/store_stand_in.h
+++ b/tests/platform/soak/store_stand_in.h
@@ -4,8 +4,10 @@
 #include "net/asio_types.h"
 
 #include <boost/beast/http.hpp>
+#include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 namespace knapweed::soak {
 
@@ -15,12 +17,18 @@
 /** A stand-in of the platform's metadata store: rows, long polls for changes, and faults. */
 class store_stand_in {
 public:
+    /** Is called with table, key and value of each row that a call writes; without a value when it removes
+        the row. */
+    using write_hook =
+        std::function<void(const std::string&, const std::string&, const std::optional<std::string>&)>;
+
     explicit store_stand_in(net::asio::any_io_executor executor);
 
     [[nodiscard]] net::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
     void put(const std::string& table, const std::string& key, const std::string& value);
     void remove(const std::string& table, const std::string& key);
     void set_fault(store_fault fault);
+    void on_write(write_hook hook) { on_write_ = std::move(hook); }
 
 private:
     using request = boost::beast::http::request<boost::beast::http::string_body>;
@@ -51,6 +59,7 @@
     std::uint64_t version_ = 1;
     std::uint64_t history_begin_ = 0; ///< changes before it are forgotten
     store_fault fault_ = store_fault::none;
+    write_hook on_write_;
 };
 
 } // namespace knapweed::soak
