Have another instance send requests while an instance's paths are cut

What callers saw: first attempts at instances that were cut off from all servers were refused for the whole cut, although the instances beside them served everything. An instance took the loss of its own paths for the failure of every server: it suspended one server after the other and refused when none was left. Class of fault: what one observer can't reach is taken for what has failed, and no way leads round the observer. Requests lost in a cut are not held against servers. steerer.cpp is parted: request_relay, instance_limits.

--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -1,5 +1,7 @@
 #include "steering/steerer.h"
 
+#include "steering/instance_limits.h"
+
 #include <algorithm>
 
 namespace knapweed::steering {
@@ -25,9 +27,6 @@
 constexpr core::milliseconds max_idle_non_idempotent{2000};
 constexpr core::milliseconds max_idle_idempotent{60000};
 
-/** A server has a few slots and a short queue; requests on more connections would only wait. */
-constexpr std::size_t max_connections_per_server = 16;
-
 constexpr core::milliseconds min_retry_after{60};
 constexpr core::milliseconds max_retry_after{1000};
 constexpr core::milliseconds retry_after_without_servers{300};
@@ -36,10 +35,6 @@
 /** Callers follow a Retry-After of up to a third of the time that they have left. */
 constexpr int max_retry_after_divisor = 3;
 
-/** Servers cache the objects of about their last 25 to 72 requests. */
-constexpr std::size_t cached_objects_per_server = 50;
-constexpr std::size_t max_recent_objects = 16;
-
 /** Limit on all attempts of a request, failed connections included. The route's limit does not count failed
    connections, so this one bounds the time lost when several fail. */
 constexpr std::size_t max_attempts_with_failed_connections = 4;
@@ -66,7 +61,7 @@
       store_role_(options_.instance, options_.location.region, peers_, time),
       fanout_(options_.instance, options_.location.region, options_.capacity, peers_, time),
       cold_senders_(options_.instance, options_.location.region, peers_, time), distances_(options_.location),
-      links_(options_.location.data_centre, servers_, time, options_.seed),
+      relay_(options_.location, options_.capacity, servers_, peers_, time, options_.seed),
       planner_(options_.location.region, servers_, peers_),
       retries_(options_.retry_ratio, options_.retry_extra, time), last_tick_(time.now())
 {}
@@ -108,14 +103,22 @@
             return refuse_step{core::refusal_reason::configuration_outdated, retry_after_without_servers};
         return refuse_step{core::refusal_reason::unknown_path, {}};
     }
+    plan.received = facts.received;
+    plan.answer_by =
+        facts.received + std::min(plan.matched->timeout, facts.time_limit.value_or(plan.matched->timeout));
+    plan.relayed_sends = facts.relayed_sends;
+    if (relay_.links().is_cut()) {
+        if (plan.relayed_sends)
+            return refuse_or_fail(plan, core::refusal_reason::no_backend_server, core::duration::zero());
+        // The other instance counts the request among its own, and chooses its service.
+        if (auto step = relay_.start(plan))
+            return *step;
+    }
     const auto* service = shares_.next(*plan.matched);
     if (service == nullptr)
         return refuse_step{core::refusal_reason::unknown_service, retry_after_without_servers};
     plan.service = *service;
     plan.object_hash = plan.matched->object_affinity ? facts.object_hash : 0;
-    plan.received = facts.received;
-    plan.answer_by =
-        facts.received + std::min(plan.matched->timeout, facts.time_limit.value_or(plan.matched->timeout));
     auto& state = state_of(plan);
     state.demand().record_arrival();
     retries_.request_received(plan.service);
@@ -176,6 +179,11 @@
         return send(plan, *choice);
     const auto in_other_regions = choose_server(request, others, plan.tried, distances_);
     const auto& failure = std::get<no_choice>(in_region);
+    const bool is_suspended = failure.reason == core::refusal_reason::no_backend_server;
+    if (is_suspended && relay_.links().state() != link_state::sound && !plan.may_have_run) {
+        if (auto step = relay_.start(plan))
+            return *step;
+    }
     if (const auto* choice = std::get_if<server_choice>(&in_other_regions)) {
         // The shift limit does not apply to a request whose planned region has no server, nor to a retry.
         const bool exempt_from_limit = planned.empty() || !plan.tried.empty();
@@ -200,30 +208,15 @@
     plan.tried.push_back(choice.server);
     if (plan.object_hash != 0) {
         plan.attempts.back().familiar = choice.home || server.objects().contains(plan.object_hash);
-        server.objects().add(plan.object_hash, recent_object_limit());
+        server.objects().add(plan.object_hash,
+                             recent_object_limit(peers_.known_peers_in(options_.location.region) + 1));
     }
     server.record_send();
-    return send_step{choice.server, plan.answer_by, connection_limit(plan),
+    return send_step{choice.server, plan.answer_by,
+                     connection_limit(service_policy_of(plan), peers_.known_peers() + 1),
                      plan.matched->idempotent ? max_idle_idempotent : max_idle_non_idempotent};
 }
 
-/** @returns this instance's share of the requests whose objects a server still has in its cache. */
-std::size_t steerer::recent_object_limit() const
-{
-    const auto instances = peers_.known_peers_in(options_.location.region) + 1;
-    return std::clamp<std::size_t>(cached_objects_per_server / instances, 1, max_recent_objects);
-}
-
-/** @returns an equal share of the connections that a server accepts from all instances together. */
-std::size_t steerer::connection_limit(const request_plan& plan) const
-{
-    const auto* service = service_policy_of(plan);
-    if (service == nullptr || service->max_connections == 0)
-        return max_connections_per_server;
-    const std::size_t share = service->max_connections / (peers_.known_peers() + 1);
-    return std::clamp<std::size_t>(share, 1, max_connections_per_server);
-}
-
 next_step steerer::refuse_or_fail(const request_plan& plan, core::refusal_reason refusal,
                                   core::duration shortest_wait)
 {
@@ -279,6 +272,7 @@
 next_step steerer::attempt_ended(request_plan& plan, backend_server& server, const attempt_result& result)
 {
     record_result(plan, server, result);
+    relay_.record_attempt(server, result);
     if (result.outcome != attempt_outcome::not_connected)
         ++plan.sends;
     switch (result.outcome) {
@@ -294,6 +288,10 @@
         return std::holds_alternative<send_step>(step) ? step : next_step{deliver_step{}};
     }
     case attempt_outcome::not_connected:
+        if (relay_.links().state() != link_state::sound) {
+            if (auto step = relay_.start(plan))
+                return *step;
+        }
         server.failures().record_unreachable();
         if (const auto* service = service_policy_of(plan))
             server.cold_start().assume_cold(service->cold_time); // it may be restarting
@@ -307,7 +305,8 @@
         return retry(plan, core::retry_reason::wrong_server);
     case attempt_outcome::connection_lost:
     case attempt_outcome::answer_invalid:
-        server.failures().record_failure();
+        if (!relay_.links().is_cut())
+            server.failures().record_failure();
         plan.may_have_run = true;
         if (plan.matched->idempotent)
             return retry(plan, result.outcome == attempt_outcome::connection_lost
@@ -320,28 +319,45 @@
     case attempt_outcome::unfinished:
         break;
     }
-    server.failures().record_failure();
+    if (!relay_.links().is_cut())
+        server.failures().record_failure();
     plan.may_have_run = true;
     return fail_step{core::unknown_reason::server_timeout};
 }
 
 next_step steerer::relay_ended(request_plan& plan, const relay_result& result)
 {
-    if (!plan.relays.empty()) {
-        plan.relays.back().outcome = result.outcome;
-        plan.relays.back().taken = result.taken;
+    relay_.end(plan, result);
+    switch (result.outcome) {
+    case relay_outcome::answered:
+        return deliver_step{};
+    case relay_outcome::refused:
+        return refuse_or_fail(plan, core::refusal_reason::server_refused, result.retry_after);
+    case relay_outcome::not_connected:
+        if (auto step = relay_.start(plan))
+            return *step;
+        return refuse_or_fail(plan, core::refusal_reason::no_backend_server, core::duration::zero());
+    case relay_outcome::unknown:
+    case relay_outcome::unfinished:
+        plan.may_have_run = true;
+        return fail_step{core::unknown_reason::connection_lost};
+    case relay_outcome::timed_out:
+        break;
     }
-    return refuse_or_fail(plan, core::refusal_reason::no_backend_server, core::duration::zero());
+    plan.may_have_run = true;
+    return fail_step{core::unknown_reason::server_timeout};
 }
 
-std::size_t steerer::max_relayed_requests() const
+void steerer::relay_abandoned(request_plan& plan)
 {
-    return 8;
+    relay_result result;
+    result.outcome = relay_outcome::unfinished;
+    relay_.end(plan, result);
 }
 
 next_step steerer::retry(request_plan& plan, core::retry_reason reason, bool exempt_from_budget)
 {
-    const bool sends_left = plan.sends < plan.matched->max_attempts &&
+    const bool sends_left = plan.sends < plan.relayed_sends.value_or(plan.matched->max_attempts) &&
                             plan.attempts.size() < max_attempts_with_failed_connections;
     if (!sends_left)
         return refuse_or_fail(plan, core::refusal_reason::server_refused, state_of(plan).run_time() / 2);
@@ -378,6 +394,11 @@
     servers_.set_store_reachable(store_role_.store_reachable());
     servers_.tick();
     peer_loads_.tick();
+    relay_.tick([this](const core::service_id& service) {
+        const auto found = services_.find(service);
+        return found == services_.end() ? std::optional<core::duration>()
+                                        : found->second.unfamiliar_run_time();
+    });
     const bool plan_due = now - last_plan_ >= plan_interval;
     if (plan_due)
         last_plan_ = now;
--- a/source/steering/steerer.h
+++ b/source/steering/steerer.h
@@ -1,12 +1,11 @@
 #pragma once
 
 #include "steering/cold_sender_selector.h"
-#include "steering/link_monitor.h"
 #include "steering/peer_fanout.h"
 #include "steering/peer_loads.h"
 #include "steering/peer_table.h"
 #include "steering/region_planner.h"
-#include "steering/request_plan.h"
+#include "steering/request_relay.h"
 #include "steering/retry_allowance.h"
 #include "steering/route_table.h"
 #include "steering/server_catalogue.h"
@@ -40,10 +39,11 @@
 /** Chooses the backend server for each request of a caller, or the reason to refuse the request.
 
     This class does no I/O. Call `begin` when the head of a request has been read, carry out the step that it
-   returns, and report each attempt with `attempt_ended`, until a step other than `send_step` ends the
-   request. An instance sends each request that it receives directly to a server, without a message to other
-   instances: limits on sums over all instances are split into shares, and each instance stays within its
-   share.
+   returns, and report each attempt with `attempt_ended` and each relay with `relay_ended`, until another step
+   ends the request. An instance sends each request that it receives directly to a server, without a message
+   to other instances: limits on sums over all instances are split into shares, and each instance stays within
+   its share. Only while its own paths to all servers are cut, another instance sends the request; that
+   instance counts the request as its own and never relays it again.
 
     Owned by the gateway, which makes all calls from its only thread.
 */
@@ -68,7 +68,7 @@
      * of the server's id. */
     [[nodiscard]] std::vector<instance_load::entry> own_load() const;
     [[nodiscard]] distance_table& distances() noexcept { return distances_; }
-    [[nodiscard]] link_monitor& links() noexcept { return links_; }
+    [[nodiscard]] link_monitor& links() noexcept { return relay_.links(); }
 
     /** Starts a request. @param plan is filled in; pass it to each `attempt_ended` of the request. */
     [[nodiscard]] next_step begin(const request_facts& facts, request_plan& plan);
@@ -78,8 +78,10 @@
     /** Records how the relay of a request ended, the latest one in the plan. @returns the next step of the
        request. */
     [[nodiscard]] next_step relay_ended(request_plan& plan, const relay_result& result);
+    /** Records that the caller closed its connection while its request was relayed. */
+    void relay_abandoned(request_plan& plan);
     /** @returns the number of requests of other instances that this one accepts at the same time. */
-    [[nodiscard]] std::size_t max_relayed_requests() const;
+    [[nodiscard]] std::size_t max_relayed_requests() const { return relay_.max_accepted(); }
     /** Records that the caller closed its connection while the request was at the server. */
     void attempt_abandoned(backend_server& server);
     /** Records that a large answer ended early, after its head was sent to the caller. */
@@ -107,8 +109,6 @@
                                            core::duration shortest_wait);
     [[nodiscard]] choice_request make_choice_request(const request_plan& plan);
     [[nodiscard]] std::vector<server_pointer> allowed_servers(const request_plan& plan) const;
-    [[nodiscard]] std::size_t recent_object_limit() const;
-    [[nodiscard]] std::size_t connection_limit(const request_plan& plan) const;
     void record_result(request_plan& plan, backend_server& server, const attempt_result& result);
 
     steerer_options options_;
@@ -123,7 +123,7 @@
     peer_fanout fanout_;
     cold_sender_selector cold_senders_;
     distance_table distances_;
-    link_monitor links_;
+    request_relay relay_;
     region_planner planner_;
     retry_allowance retries_;
     std::unordered_map<core::service_id, service_state> services_;
