Move the exchange on one connection to an upstream into a class of its own

Change: upstream_exchange takes, opens, writes, reads and releases the connection; forwarded_request carries out the steps. No behaviour changes.

--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -3,10 +3,9 @@
 #include "gateway/message_heads.h"
 #include "gateway/request_log.h"
 #include "net/parse_number.h"
-#include "net/time_limit.h"
 
 #include <algorithm>
-#include <array>
+#include <vector>
 
 namespace knapweed::gateway {
 
@@ -15,15 +14,7 @@
 
 namespace {
 
-/** Body bytes that are read before an answer is delivered. If the answer breaks off within them, the request
-   can be retried on another server, because the caller has received nothing yet. */
-constexpr std::size_t max_buffered_bytes = 32768;
 constexpr std::size_t stream_buffer_bytes = 16384;
-/** Answers to earlier requests that are skipped on one connection before the attempt fails. */
-constexpr int max_stale_answers = 2;
-constexpr std::size_t max_stale_answer_bytes = 1U << 20U;
-/** Interim answers (1xx) that may precede the answer. */
-constexpr int max_interim_answers = 4;
 /** Limit of an answer that states no length. A faulty server can send one without end. */
 constexpr std::size_t max_undeclared_answer_bytes = 64U << 20U;
 /** After the request's time limit, an answer that is being delivered ends when its server sends nothing for
@@ -33,7 +24,6 @@
 constexpr int connect_round_trips = 2;
 constexpr core::milliseconds server_allowance{60};
 constexpr unsigned bad_request = 400;
-constexpr double bytes_per_kilobyte = 1024;
 /** Length to which a caller's host and path are truncated in the log. */
 constexpr std::size_t max_logged_bytes = 128;
 
@@ -41,7 +31,8 @@
 
 forwarded_request::forwarded_request(forwarder_context& context, std::shared_ptr<caller_exchange> exchange)
     : context_(context), exchange_(std::move(exchange)),
-      request_id_(exchange_->request().field(context_.dialect.request_id_field)), timer_(context_.executor)
+      request_id_(exchange_->request().field(context_.dialect.request_id_field)), timer_(context_.executor),
+      upstream_(context_.executor, context_.connections, context_.dialect, request_id_)
 {
     ++context_.in_progress;
 }
@@ -84,7 +75,7 @@
         arm_timer();
         exchange_->on_caller_disconnected([weak = weak_from_this()] {
             if (const auto request = weak.lock())
-                request->abort_attempt();
+                request->upstream_.abort();
         });
     }
     while (const auto* send = std::get_if<steering::send_step>(&step)) {
@@ -118,7 +109,7 @@
         if (error || !request || request->delivering_)
             return;
         request->timed_out_ = true;
-        request->abort_attempt();
+        request->upstream_.abort();
     });
 }
 
@@ -131,32 +122,20 @@
         max_late_silence);
     timer_.async_wait([weak = weak_from_this()](net::error_code error) {
         if (const auto request = weak.lock(); request && !error)
-            request->abort_attempt();
+            request->upstream_.abort();
     });
 }
 
-/** Ends the attempt in progress. The server detects that its connection is closed and stops processing the
-   request. */
-void forwarded_request::abort_attempt()
-{
-    if (connection_)
-        connection_->close();
-}
-
 asio::awaitable<steering::attempt_result> forwarded_request::try_server(const steering::send_step& step)
 {
     auto& server = *step.server;
     steering::attempt_result result;
     const auto started = context_.time.now();
-    buffered_answer_ = {};
-    must_discard_connection_ = false;
-    connection_ =
-        context_.connections.acquire(server.record().address, step.connection_limit, step.longest_idle);
-    if (!connection_) {
+    if (!upstream_.acquire(server.record().address, step.connection_limit, step.longest_idle)) {
         result.connecting = steering::connect_failure::limited;
         co_return result;
     }
-    if (!connection_->connected()) {
+    if (!upstream_.connected()) {
         result.connecting = co_await open_connection(server);
         result.taken = context_.time.now() - started;
         if (result.connecting != steering::connect_failure::none) {
@@ -172,9 +151,9 @@
                           result.outcome != attempt_outcome::timed_out &&
                           result.outcome != attempt_outcome::not_connected;
     if (has_head)
-        extract_load(result);
+        upstream_.extract_load(result);
     if (result.outcome != attempt_outcome::answered && result.outcome != attempt_outcome::server_failed)
-        release_connection();
+        upstream_.release();
     co_return result;
 }
 
@@ -184,12 +163,10 @@
     const steering::network_location server_location{server.record().data_centre, server.region()};
     const auto round_trip = context_.steerer.distances().round_trip(server_location);
     const auto started = context_.time.now();
-    const net::time_limit connect_limit(
-        context_.executor, round_trip * connect_round_trips + server_allowance, [this] { abort_attempt(); });
-    const auto error = co_await connection_->connect();
-    if (!error)
+    const auto failure = co_await upstream_.open(round_trip * connect_round_trips + server_allowance);
+    if (failure == steering::connect_failure::none)
         context_.steerer.distances().observe(server_location, context_.time.now() - started);
-    co_return classify_connect_error(error, connect_limit.expired());
+    co_return failure;
 }
 
 attempt_outcome forwarded_request::outcome_without_answer() const
@@ -202,123 +179,25 @@
     const auto& request = exchange_->request();
     const auto time_left = plan_.answer_by - context_.time.now();
     const auto head = make_request_head(request, context_.dialect, time_left, server.record().id);
-    const auto written = co_await connection_->write_message(head, request.body);
-    if (written.error && written.bytes == 0)
+    if (!co_await upstream_.send(head, request))
         co_return timed_out_ ? attempt_outcome::timed_out : attempt_outcome::not_connected;
-    // A server may answer early and close the connection without reading the whole body: its answer is valid.
-    if (written.error)
-        must_discard_connection_ = true;
-    if (request.method == "HEAD")
-        connection_->expect_no_body();
-    if (!co_await read_matching_head())
+    if (!co_await upstream_.read_head())
         co_return outcome_without_answer();
-    const auto outcome = classify_answer(extract_answer_facts());
+    const auto outcome = classify_answer(upstream_.extract_answer_facts());
     if (outcome == attempt_outcome::answer_invalid)
         co_return outcome;
-    if (!co_await buffer_body())
+    if (!co_await upstream_.buffer_body())
         co_return timed_out_ ? attempt_outcome::timed_out : attempt_outcome::answer_invalid;
     co_return outcome;
 }
 
-asio::awaitable<bool> forwarded_request::read_matching_head()
-{
-    constexpr unsigned first_final_status = 200;
-    int interim_answers = 0;
-    int stale_answers = 0;
-    while (interim_answers <= max_interim_answers && stale_answers <= max_stale_answers) {
-        if (co_await connection_->read_head())
-            co_return false;
-        if (connection_->status() < first_final_status) {
-            ++interim_answers;
-        }
-        else if (is_for_another_request(extract_answer_facts())) {
-            // A late answer to an earlier request on this connection; the answer to this request may follow.
-            must_discard_connection_ = true;
-            ++stale_answers;
-            if (!co_await skip_body())
-                co_return false;
-        }
-        else {
-            co_return true;
-        }
-        connection_->expect_next_answer();
-    }
-    co_return false;
-}
-
-asio::awaitable<bool> forwarded_request::skip_body()
-{
-    std::array<char, 2048> skipped{};
-    std::size_t skipped_bytes = 0;
-    while (!connection_->complete()) {
-        const auto read = co_await connection_->read_some(skipped);
-        skipped_bytes += read.bytes;
-        if (read.error || skipped_bytes > max_stale_answer_bytes)
-            co_return false;
-    }
-    co_return true;
-}
-
-asio::awaitable<bool> forwarded_request::buffer_body()
-{
-    std::array<char, 4096> buffer{};
-    while (!connection_->complete() && buffered_answer_.body.size() < max_buffered_bytes) {
-        const auto read = co_await connection_->read_some(buffer);
-        if (read.error)
-            co_return false;
-        buffered_answer_.body.append(buffer.data(), read.bytes);
-    }
-    buffered_answer_.complete = connection_->complete();
-    co_return true;
-}
-
-answer_facts forwarded_request::extract_answer_facts() const
-{
-    const auto& dialect = context_.dialect;
-    const auto id = connection_->field(dialect.request_id_field);
-    answer_facts facts;
-    facts.status = connection_->status();
-    facts.has_request_id = !id.empty();
-    facts.matches_request = id == request_id_;
-    facts.on_reused_connection = connection_->reused();
-    facts.has_signature = !connection_->field(dialect.signature_field).empty();
-    facts.marked_not_run = !connection_->field(dialect.not_run_field).empty();
-    facts.encoded = !connection_->field("content-encoding").empty();
-    return facts;
-}
-
-void forwarded_request::extract_load(steering::attempt_result& result) const
-{
-    result.load = context_.dialect.parse_load(connection_->field(context_.dialect.load_field));
-    if (const auto remaining_ms =
-            net::parse_number(connection_->field(context_.dialect.remaining_cold_time_field)))
-        result.remaining_cold_time = core::milliseconds(*remaining_ms);
-    result.answer_kilobytes =
-        static_cast<double>(connection_->content_length().value_or(buffered_answer_.body.size())) /
-        bytes_per_kilobyte;
-}
-
-/** Returns the connection to the pool if another request may use it, and closes it otherwise. */
-void forwarded_request::release_connection()
-{
-    if (!connection_)
-        return;
-    if (must_discard_connection_)
-        connection_.reset();
-    else if (connection_->complete()) {
-        const auto idle_time = usable_idle_time(connection_->field("keep-alive"));
-        context_.connections.release(std::move(connection_), idle_time);
-    }
-    connection_.reset();
-}
-
 asio::awaitable<void> forwarded_request::deliver(steering::backend_server& server)
 {
-    const auto head = make_answer_head(*connection_, exchange_->request().method);
+    const auto head = make_answer_head(upstream_.connection(), exchange_->request().method);
     bool written = false;
-    if (buffered_answer_.complete) {
-        release_connection();
-        written = co_await exchange_->answer(head, buffered_answer_.body);
+    if (upstream_.buffered_whole()) {
+        upstream_.release();
+        written = co_await exchange_->answer(head, upstream_.buffered_body());
     }
     else {
         written = co_await stream_answer(head, server);
@@ -331,15 +210,15 @@
 asio::awaitable<bool> forwarded_request::stream_answer(const answer_head& head,
                                                        steering::backend_server& server)
 {
-    const auto length = connection_->content_length();
+    const auto length = upstream_.connection().content_length();
     bool written = co_await exchange_->begin_answer(head, length);
     if (written)
-        written = co_await exchange_->write_body(buffered_answer_.body);
+        written = co_await exchange_->write_body(upstream_.buffered_body());
     std::vector<char> buffer(stream_buffer_bytes);
     std::size_t streamed_bytes = 0;
-    while (written && !connection_->complete()) {
+    while (written && !upstream_.connection().complete()) {
         arm_silence_timer();
-        const auto read = co_await connection_->read_some(buffer);
+        const auto read = co_await upstream_.connection().read_some(buffer);
         streamed_bytes += read.bytes;
         if (read.error || (!length && streamed_bytes > max_undeclared_answer_bytes)) {
             context_.metrics.add(net::counter::answers_truncated);
@@ -351,10 +230,10 @@
         written = co_await exchange_->write_body({buffer.data(), read.bytes});
     }
     if (!written) {
-        connection_.reset();
+        upstream_.discard();
         co_return false;
     }
-    release_connection();
+    upstream_.release();
     co_return co_await exchange_->end_answer();
 }
 
--- a/source/gateway/forwarded_request.h
+++ b/source/gateway/forwarded_request.h
@@ -1,11 +1,8 @@
 #pragma once
 
-#include "gateway/answer_rules.h"
-#include "gateway/caller_exchange.h"
 #include "gateway/event_log.h"
 #include "gateway/gateway_metrics.h"
-#include "gateway/http_dialect.h"
-#include "net/connection_pool.h"
+#include "gateway/upstream_exchange.h"
 #include "steering/steerer.h"
 
 namespace knapweed::gateway {
@@ -39,35 +36,17 @@
     net::asio::awaitable<void> run();
 
 private:
-    /** Beginning of the answer's body, read before the answer is delivered. */
-    struct buffered_answer {
-        std::string body;
-        bool complete = false; ///< it is the whole body
-    };
-
     [[nodiscard]] steering::request_facts extract_request_facts() const;
     void arm_timer();
     void arm_silence_timer();
-    void abort_attempt();
 
     net::asio::awaitable<steering::attempt_result> try_server(const steering::send_step& step);
     net::asio::awaitable<steering::connect_failure> open_connection(steering::backend_server& server);
     net::asio::awaitable<steering::attempt_outcome> send_and_receive(const steering::backend_server& server);
-    /** Reads the head of the answer to this request and skips answers to earlier ones.
-        @returns false when the connection failed or too many answers were skipped. */
-    net::asio::awaitable<bool> read_matching_head();
-    /** Reads the body of an answer to another request. @returns false when the connection failed or the body
-       is too long. */
-    net::asio::awaitable<bool> skip_body();
-    /** Reads the beginning of the body. @returns false when the connection failed. */
-    net::asio::awaitable<bool> buffer_body();
-    [[nodiscard]] answer_facts extract_answer_facts() const;
     [[nodiscard]] steering::attempt_outcome outcome_without_answer() const;
-    void extract_load(steering::attempt_result& result) const;
 
     net::asio::awaitable<void> deliver(steering::backend_server& server);
     net::asio::awaitable<bool> stream_answer(const answer_head& head, steering::backend_server& server);
-    void release_connection();
     net::asio::awaitable<void> refuse(const steering::refuse_step& step);
     net::asio::awaitable<void> fail(const steering::fail_step& step);
     void log_result(std::string_view outcome, unsigned status, std::string_view reason,
@@ -78,11 +57,9 @@
     std::string request_id_;
     steering::request_plan plan_;
     net::asio::steady_timer timer_;
-    std::unique_ptr<net::client_connection> connection_;
-    buffered_answer buffered_answer_;
+    upstream_exchange upstream_;
     bool timed_out_ = false;  ///< the time limit of the request passed before an answer was delivered
     bool delivering_ = false; ///< the time limit no longer applies
-    bool must_discard_connection_ = false; ///< it must not be reused for another request
 };
 
 } // namespace knapweed::gateway
--- /dev/null
+++ b/source/gateway/upstream_exchange.cpp
@@ -0,0 +1,155 @@
+#include "gateway/upstream_exchange.h"
+
+#include "gateway/message_heads.h"
+#include "net/parse_number.h"
+#include "net/time_limit.h"
+
+#include <array>
+
+namespace knapweed::gateway {
+
+namespace asio = net::asio;
+
+namespace {
+
+/** Body bytes that are read before an answer is delivered. If the answer breaks off within them, the request
+   can be retried on another server, because the caller has received nothing yet. */
+constexpr std::size_t max_buffered_bytes = 32768;
+/** Answers to earlier requests that are skipped on one connection before the attempt fails. */
+constexpr int max_stale_answers = 2;
+constexpr std::size_t max_stale_answer_bytes = 1U << 20U;
+/** Interim answers (1xx) that may precede the answer. */
+constexpr int max_interim_answers = 4;
+constexpr double bytes_per_kilobyte = 1024;
+
+} // namespace
+
+upstream_exchange::upstream_exchange(asio::any_io_executor executor, net::connection_pool& connections,
+                                     const http_dialect& dialect, std::string request_id)
+    : executor_(std::move(executor)), connections_(connections), dialect_(dialect),
+      request_id_(std::move(request_id))
+{}
+
+bool upstream_exchange::acquire(const std::string& address, std::size_t limit, core::duration longest_idle)
+{
+    buffered_body_.clear();
+    buffered_whole_ = false;
+    must_discard_connection_ = false;
+    connection_ = connections_.acquire(address, limit, longest_idle);
+    return connection_ != nullptr;
+}
+
+asio::awaitable<steering::connect_failure> upstream_exchange::open(core::duration limit)
+{
+    const net::time_limit connect_limit(executor_, limit, [this] { abort(); });
+    const auto error = co_await connection_->connect();
+    co_return classify_connect_error(error, connect_limit.expired());
+}
+
+asio::awaitable<bool> upstream_exchange::send(std::string_view head, const caller_request& request)
+{
+    const auto written = co_await connection_->write_message(head, request.body);
+    if (written.error && written.bytes == 0)
+        co_return false;
+    // A server may answer early and close the connection without reading the whole body: its answer is valid.
+    if (written.error)
+        must_discard_connection_ = true;
+    if (request.method == "HEAD")
+        connection_->expect_no_body();
+    co_return true;
+}
+
+asio::awaitable<bool> upstream_exchange::read_head()
+{
+    constexpr unsigned first_final_status = 200;
+    int interim_answers = 0;
+    int stale_answers = 0;
+    while (interim_answers <= max_interim_answers && stale_answers <= max_stale_answers) {
+        if (co_await connection_->read_head())
+            co_return false;
+        if (connection_->status() < first_final_status) {
+            ++interim_answers;
+        }
+        else if (is_for_another_request(extract_answer_facts())) {
+            // A late answer to an earlier request on this connection; the answer to this request may follow.
+            must_discard_connection_ = true;
+            ++stale_answers;
+            if (!co_await skip_body())
+                co_return false;
+        }
+        else {
+            co_return true;
+        }
+        connection_->expect_next_answer();
+    }
+    co_return false;
+}
+
+asio::awaitable<bool> upstream_exchange::skip_body()
+{
+    std::array<char, 2048> skipped{};
+    std::size_t skipped_bytes = 0;
+    while (!connection_->complete()) {
+        const auto read = co_await connection_->read_some(skipped);
+        skipped_bytes += read.bytes;
+        if (read.error || skipped_bytes > max_stale_answer_bytes)
+            co_return false;
+    }
+    co_return true;
+}
+
+asio::awaitable<bool> upstream_exchange::buffer_body()
+{
+    std::array<char, 4096> buffer{};
+    while (!connection_->complete() && buffered_body_.size() < max_buffered_bytes) {
+        const auto read = co_await connection_->read_some(buffer);
+        if (read.error)
+            co_return false;
+        buffered_body_.append(buffer.data(), read.bytes);
+    }
+    buffered_whole_ = connection_->complete();
+    co_return true;
+}
+
+answer_facts upstream_exchange::extract_answer_facts() const
+{
+    const auto id = connection_->field(dialect_.request_id_field);
+    answer_facts facts;
+    facts.status = connection_->status();
+    facts.has_request_id = !id.empty();
+    facts.matches_request = id == request_id_;
+    facts.on_reused_connection = connection_->reused();
+    facts.has_signature = !connection_->field(dialect_.signature_field).empty();
+    facts.marked_not_run = !connection_->field(dialect_.not_run_field).empty();
+    facts.encoded = !connection_->field("content-encoding").empty();
+    return facts;
+}
+
+void upstream_exchange::extract_load(steering::attempt_result& result) const
+{
+    result.load = dialect_.parse_load(connection_->field(dialect_.load_field));
+    if (const auto remaining_ms = net::parse_number(connection_->field(dialect_.remaining_cold_time_field)))
+        result.remaining_cold_time = core::milliseconds(*remaining_ms);
+    result.answer_kilobytes =
+        static_cast<double>(connection_->content_length().value_or(buffered_body_.size())) /
+        bytes_per_kilobyte;
+}
+
+void upstream_exchange::release()
+{
+    if (!connection_)
+        return;
+    if (!must_discard_connection_ && connection_->complete()) {
+        const auto idle_time = usable_idle_time(connection_->field("keep-alive"));
+        connections_.release(std::move(connection_), idle_time);
+    }
+    connection_.reset();
+}
+
+void upstream_exchange::abort()
+{
+    if (connection_)
+        connection_->close();
+}
+
+} // namespace knapweed::gateway
--- /dev/null
+++ b/source/gateway/upstream_exchange.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "gateway/answer_rules.h"
+#include "gateway/caller_exchange.h"
+#include "gateway/http_dialect.h"
+#include "net/connection_pool.h"
+
+namespace knapweed::gateway {
+
+/** Sends a caller's request to an upstream on one connection, and reads the answer to it.
+
+    Call `acquire`, `open` if the connection is new, `send`, `read_head` and `buffer_body`; then read the rest
+    of the body, and `release` the connection. `acquire` begins the next attempt. Owned by the request that is
+    forwarded, and used by one thread only.
+*/
+class upstream_exchange {
+public:
+    /** @param connections and @p dialect must outlive this object. @param request_id of the request; answers
+        to other requests are skipped. */
+    upstream_exchange(net::asio::any_io_executor executor, net::connection_pool& connections,
+                      const http_dialect& dialect, std::string request_id);
+
+    /** Takes a connection for one attempt. @param limit of open connections to the address. @param
+        longest_idle a connection that was idle for longer is not used.
+        @returns false when @p limit connections are open or the address is malformed. */
+    [[nodiscard]] bool acquire(const std::string& address, std::size_t limit, core::duration longest_idle);
+    [[nodiscard]] bool connected() const { return connection_->connected(); }
+    /** Opens the connection. @param limit after which the attempt ends. */
+    net::asio::awaitable<steering::connect_failure> open(core::duration limit);
+    /** Writes the request. @param head complete, including its final empty line.
+        @returns false when nothing was written. After a part of it the answer can still be read: an upstream
+        may answer early and close the connection. */
+    net::asio::awaitable<bool> send(std::string_view head, const caller_request& request);
+    /** Reads the head of the answer to this request and skips answers to earlier ones.
+        @returns false when the connection failed or too many answers were skipped. */
+    net::asio::awaitable<bool> read_head();
+    /** Reads the beginning of the body. If the answer breaks off within it, the caller has received nothing
+        yet. @returns false when the connection failed. */
+    net::asio::awaitable<bool> buffer_body();
+
+    /** @returns the properties of the answer's head. */
+    [[nodiscard]] answer_facts extract_answer_facts() const;
+    /** Adds the load that the answer states, and the size of the answer, to a result. */
+    void extract_load(steering::attempt_result& result) const;
+    /** @returns the connection, whose head and body can be read. */
+    [[nodiscard]] net::client_connection& connection() { return *connection_; }
+    [[nodiscard]] const std::string& buffered_body() const noexcept { return buffered_body_; }
+    /** @returns whether the buffered body is the whole body. */
+    [[nodiscard]] bool buffered_whole() const noexcept { return buffered_whole_; }
+
+    /** Returns the connection to the pool if another request may use it, and closes it otherwise. */
+    void release();
+    /** Closes the connection without regard to its state. */
+    void discard() { connection_.reset(); }
+    /** Ends the attempt in progress. The upstream detects that its connection is closed and stops processing
+        the request. */
+    void abort();
+
+private:
+    /** Reads the body of an answer to another request. @returns false when the connection failed or the body
+       is too long. */
+    net::asio::awaitable<bool> skip_body();
+
+    net::asio::any_io_executor executor_;
+    net::connection_pool& connections_;
+    const http_dialect& dialect_;
+    std::string request_id_;
+    std::unique_ptr<net::client_connection> connection_;
+    std::string buffered_body_;
+    bool buffered_whole_ = false;
+    bool must_discard_connection_ = false; ///< it must not be reused for another request
+};
+
+} // namespace knapweed::gateway
