Move the messages between instances out of the gateway class

Change: peer_messenger sends status, load and changes and applies those that arrive. gateway keeps broadcast_change as a call of it, so that platform/ does not change. No behaviour changes.

--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -90,10 +90,11 @@
       metrics_listener_(io_.get_executor(),
                         make_context([this](auto exchange) { return answer_metrics(std::move(exchange)); }),
                         max_auxiliary_sessions),
-      peers_(
-          io_.get_executor(), [this](const peer_message& message) { receive(message); },
-          [this](std::string_view error) { report_error(error); }),
-      incarnation_(make_incarnation()), settings_modified_(modification_time(settings_file_))
+      incarnation_(make_incarnation()),
+      messenger_(
+          io_.get_executor(), {settings_.instance, settings_.region, incarnation_}, steerer_,
+          [this] { return status(); }, [this](std::string_view error) { report_error(error); }),
+      settings_modified_(modification_time(settings_file_))
 {
     steerer_.servers().set_regions(settings_.data_centres);
     steerer_.on_retry([this](core::retry_reason reason) { metrics_.count(reason); });
@@ -131,7 +132,7 @@
     const auto peer_endpoint = net::parse_address(settings_.peer_address);
     if (!peer_endpoint)
         return settings_.peer_address + ": not an address";
-    const auto error = peers_.open({peer_endpoint->address(), peer_endpoint->port()});
+    const auto error = messenger_.open({peer_endpoint->address(), peer_endpoint->port()});
     return error ? settings_.peer_address + ": " + error.message() : "";
 }
 
@@ -145,7 +146,7 @@
                   .add("store", settings_.store_address));
     wait_for_signal();
     start_lasting([this] { return run_ticks(); });
-    start_lasting([this] { return send_load_periodically(); });
+    start_lasting([this] { return messenger_.send_load_periodically(); });
     io_.run();
     log_.info(json_line("stopped").add("requests_in_progress", forwarder_.in_progress));
     log_.flush();
@@ -245,7 +246,7 @@
     status.caller_address = settings_.caller_address;
     status.peer_address = settings_.peer_address;
     status.incarnation = incarnation_;
-    status.sequence = ++sequence_;
+    status.sequence = messenger_.next_sequence();
     status.ready = ready();
     status.leaving = leaving_;
     status.capacity = settings_.capacity;
@@ -256,74 +257,6 @@
     return status;
 }
 
-void gateway::send_status()
-{
-    const auto addresses = steerer_.fanout().status_receivers();
-    if (!addresses.empty())
-        peers_.send(encode_datagram(status()), addresses);
-}
-
-void gateway::receive(const peer_message& message)
-{
-    if (const auto* status = std::get_if<steering::instance_status>(&message))
-        steerer_.peers().update(*status);
-    else if (const auto* load = std::get_if<steering::instance_load>(&message))
-        receive_load(*load);
-    else if (const auto* change = std::get_if<steering::table_change>(&message); change && on_table_change_)
-        on_table_change_(*change);
-}
-
-/** A sum over this instance's region includes its own requests, which are known better here. */
-void gateway::receive_load(const steering::instance_load& load)
-{
-    if (load.region != settings_.region) {
-        steerer_.loads_of_peers().update(load);
-    }
-    else if (!steerer_.fanout().is_hub()) {
-        auto others = load;
-        others.servers = steering::subtract(load.servers, last_sent_load_);
-        steerer_.loads_of_peers().update(others);
-    }
-}
-
-void gateway::broadcast_change(const steering::table_change& change)
-{
-    const auto datagram = encode_datagram(change);
-    const auto addresses = steerer_.peers().peer_addresses_in(settings_.region);
-    if (datagram.size() <= peer_link::max_datagram_bytes && !addresses.empty())
-        peers_.send(datagram, addresses);
-    send_status();
-}
-
-asio::awaitable<void> gateway::send_load_periodically()
-{
-    asio::steady_timer timer(io_);
-    for (std::uint64_t round = 0;; ++round) {
-        timer.expires_after(steerer_.fanout().load_interval());
-        const auto [error] = co_await timer.async_wait(net::as_result);
-        if (error)
-            co_return;
-        send_load(round);
-    }
-}
-
-/** Sends the load messages of one round; that of this instance only if it is due or has changed. */
-void gateway::send_load(std::uint64_t round)
-{
-    const auto plan = steerer_.fanout().next_load_message(round);
-    auto own = steerer_.own_load();
-    if (!plan.region_sum.empty()) {
-        const steering::instance_load sum{settings_.instance, incarnation_, ++sequence_,
-                                          steerer_.loads_of_peers().region_sum(own), settings_.region};
-        peers_.send(encode_datagram(sum), plan.region_sum);
-    }
-    if (!plan.own_load.empty() && (plan.is_due || own != last_sent_load_)) {
-        const steering::instance_load load{settings_.instance, incarnation_, ++sequence_, own, {}};
-        peers_.send(encode_datagram(load), plan.own_load);
-    }
-    last_sent_load_ = std::move(own);
-}
-
 asio::awaitable<void> gateway::run_ticks()
 {
     asio::steady_timer timer(io_);
@@ -347,7 +280,7 @@
     if (on_tick_)
         on_tick_();
     if (ticks_ % ticks_per_status == 0)
-        send_status();
+        messenger_.send_status();
     if (ticks_ % ticks_per_second == 0) {
         connections_.close_idle();
         check_settings_file();
@@ -386,7 +319,7 @@
     log_.info(json_line("leaving").add("requests_in_progress", forwarder_.in_progress));
     callers_.leave();
     steerer_.store_role().leave();
-    send_status();
+    messenger_.send_status();
     if (on_leaving_)
         on_leaving_();
     start_lasting([this] { return complete_shutdown(); });
--- a/source/gateway/gateway.h
+++ b/source/gateway/gateway.h
@@ -7,7 +7,7 @@
 #include "gateway/caller_listener.h"
 #include "gateway/forwarded_request.h"
 #include "gateway/gateway_settings.h"
-#include "gateway/peer_link.h"
+#include "gateway/peer_messenger.h"
 #include "steering/lookup_choice.h"
 
 #include <boost/asio/io_context.hpp>
@@ -43,15 +43,13 @@
      */
     void on_table_change(std::function<void(const steering::table_change&)> callback)
     {
-        on_table_change_ = std::move(callback);
+        messenger_.on_table_change(std::move(callback));
     }
     /** Sets a function that is called about every 100 ms. */
     void on_tick(std::function<void()> callback) { on_tick_ = std::move(callback); }
 
-    /** Sends a change of the store to the instances of the region, and a status message with the version of
-       the change to all instances. A change that does not fit into a datagram is not sent: the other
-       instances read it from the store. */
-    void broadcast_change(const steering::table_change& change);
+    /** @see peer_messenger::broadcast_change */
+    void broadcast_change(const steering::table_change& change) { messenger_.broadcast_change(change); }
 
     /** @returns the next status message to the other instances. */
     [[nodiscard]] steering::instance_status status();
@@ -81,11 +79,6 @@
     void tick();
     void reload_settings(std::string_view cause);
     void check_settings_file();
-    void receive(const peer_message& message);
-    void send_status();
-    net::asio::awaitable<void> send_load_periodically();
-    void send_load(std::uint64_t round);
-    void receive_load(const steering::instance_load& load);
 
     gateway_settings settings_;
     std::string settings_file_;
@@ -102,13 +95,10 @@
     caller_listener readiness_;
     caller_listener lookups_;
     caller_listener metrics_listener_;
-    peer_link peers_;
+    core::incarnation incarnation_;
+    peer_messenger messenger_;
     std::function<void()> on_leaving_;
-    std::function<void(const steering::table_change&)> on_table_change_;
     std::function<void()> on_tick_;
-    core::incarnation incarnation_;
-    std::uint64_t sequence_ = 0;
-    std::vector<steering::instance_load::entry> last_sent_load_; ///< the load in the last message sent
     std::uint64_t ticks_ = 0;
     std::int64_t settings_modified_ = 0; ///< modification time of the settings file
     bool leaving_ = false;
