Relay a request through another instance: the sending side

Change: relay_sender writes the request to the other instance, without a target server and with the two internal fields, and reads the answer with upstream_exchange. Only a signed answer counts as one. The steps in forwarded_request itself ran in no test: the stub of relay_ended returns no relay_step.

--- a/source/gateway/answer_rules.cpp
+++ b/source/gateway/answer_rules.cpp
@@ -16,6 +16,10 @@
 constexpr unsigned unavailable = 503;
 constexpr unsigned gateway_timeout = 504;
 
+/** Statuses with which an instance answers a request that was not run and will not be. */
+constexpr std::array<unsigned, 8> refusal_statuses{400,         not_found, 408, 413,
+                                                   misdirected, 429,       431, unavailable};
+
 constexpr std::array<std::string_view, 9> hop_by_hop_fields{
     "connection", "keep-alive",        "proxy-connection", "te",    "trailer",
     "upgrade",    "transfer-encoding", "content-length",   "expect"};
@@ -42,6 +46,19 @@
     return answer.status >= first_server_error ? attempt_outcome::server_failed : attempt_outcome::answered;
 }
 
+steering::relay_outcome classify_relayed_answer(const answer_facts& answer)
+{
+    using steering::relay_outcome;
+    if (!answer.matches_request || answer.encoded)
+        return relay_outcome::unknown;
+    if (answer.has_signature)
+        return relay_outcome::answered;
+    const bool is_refusal =
+        answer.states_reason &&
+        std::find(refusal_statuses.begin(), refusal_statuses.end(), answer.status) != refusal_statuses.end();
+    return is_refusal ? relay_outcome::refused : relay_outcome::unknown;
+}
+
 unsigned status_of(core::refusal_reason reason)
 {
     return reason == core::refusal_reason::unknown_path ? not_found : unavailable;
--- a/source/gateway/answer_rules.h
+++ b/source/gateway/answer_rules.h
@@ -16,6 +16,7 @@
     bool encoded = false; ///< it has a Content-Encoding, so an intermediary changed the body: requests ask
                           ///< for no encoding
     bool on_reused_connection = false; ///< a late answer to an earlier request may arrive on it
+    bool states_reason = false;        ///< an instance generated it, and states the reason
 };
 
 /** @returns whether the answer belongs to an earlier request on the connection, so that the answer to the
@@ -28,6 +29,11 @@
    arrive. */
 [[nodiscard]] steering::attempt_outcome classify_answer(const answer_facts& answer);
 
+/** Classifies an answer of another instance to a relayed request: `answered`, `refused` or `unknown`. Only a
+   server's signed answer may be passed on to the caller; only an answer that the other instance itself
+   generated, with a status that it uses for requests that were not run, is a refusal. */
+[[nodiscard]] steering::relay_outcome classify_relayed_answer(const answer_facts& answer);
+
 /** @returns the HTTP status of a refusal: 503 or 404, which guarantee that the request was not run. */
 [[nodiscard]] unsigned status_of(core::refusal_reason reason);
 
--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -27,6 +27,12 @@
 /** Length to which a caller's host and path are truncated in the log. */
 constexpr std::size_t max_logged_bytes = 128;
 
+bool sends_request(const steering::next_step& step)
+{
+    return std::holds_alternative<steering::send_step>(step) ||
+           std::holds_alternative<steering::relay_step>(step);
+}
+
 } // namespace
 
 forwarded_request::forwarded_request(forwarder_context& context, std::shared_ptr<caller_exchange> exchange)
@@ -71,27 +77,25 @@
         co_return;
     }
     auto step = context_.steerer.begin(extract_request_facts(), plan_);
-    if (std::holds_alternative<steering::send_step>(step)) {
+    if (sends_request(step)) {
         arm_timer();
         exchange_->on_caller_disconnected([weak = weak_from_this()] {
             if (const auto request = weak.lock())
                 request->upstream_.abort();
         });
     }
-    while (const auto* send = std::get_if<steering::send_step>(&step)) {
-        const auto server = send->server;
-        const auto result = co_await try_server(*send);
-        if (exchange_->caller_disconnected()) {
-            context_.steerer.attempt_abandoned(*server);
+    while (sends_request(step)) {
+        std::optional<steering::next_step> next;
+        if (const auto* relayed = std::get_if<steering::relay_step>(&step))
+            next = co_await relay(*relayed);
+        else
+            next = co_await send(std::get<steering::send_step>(step));
+        if (!next) {
             context_.metrics.add(net::counter::callers_lost);
             log_result("caller_left", 0, "the caller closed its connection", {});
             co_return;
         }
-        step = context_.steerer.attempt_ended(plan_, *server, result);
-        if (std::holds_alternative<steering::deliver_step>(step)) {
-            delivering_ = true;
-            co_await deliver(*server);
-        }
+        step = std::move(*next);
     }
     if (const auto* refused = std::get_if<steering::refuse_step>(&step))
         co_await refuse(*refused);
@@ -100,6 +104,36 @@
     timer_.cancel();
 }
 
+asio::awaitable<std::optional<steering::next_step>> forwarded_request::send(steering::send_step step)
+{
+    const auto result = co_await try_server(step);
+    if (exchange_->caller_disconnected()) {
+        context_.steerer.attempt_abandoned(*step.server);
+        co_return std::nullopt;
+    }
+    auto next = context_.steerer.attempt_ended(plan_, *step.server, result);
+    if (std::holds_alternative<steering::deliver_step>(next))
+        co_await deliver(step.server.get());
+    co_return next;
+}
+
+asio::awaitable<std::optional<steering::next_step>> forwarded_request::relay(steering::relay_step step)
+{
+    context_.metrics.add(net::counter::relays_sent);
+    const auto result = co_await context_.relays.relay(std::move(step), exchange_->request(), upstream_);
+    if (exchange_->caller_disconnected()) {
+        if (!plan_.relays.empty())
+            plan_.relays.back().outcome = steering::relay_outcome::unfinished;
+        co_return std::nullopt;
+    }
+    if (result.outcome != steering::relay_outcome::answered)
+        context_.metrics.add(net::counter::relays_failed);
+    auto next = context_.steerer.relay_ended(plan_, result);
+    if (std::holds_alternative<steering::deliver_step>(next))
+        co_await deliver(nullptr);
+    co_return next;
+}
+
 void forwarded_request::arm_timer()
 {
     timer_.expires_after(
@@ -108,8 +142,7 @@
         const auto request = weak.lock();
         if (error || !request || request->delivering_)
             return;
-        request->timed_out_ = true;
-        request->upstream_.abort();
+        request->upstream_.time_out();
     });
 }
 
@@ -143,7 +176,7 @@
             co_return result;
         }
     }
-    if (exchange_->caller_disconnected() || timed_out_)
+    if (exchange_->caller_disconnected() || upstream_.timed_out())
         co_return result;
     result.outcome = co_await send_and_receive(server);
     result.taken = context_.time.now() - started;
@@ -171,7 +204,7 @@
 
 attempt_outcome forwarded_request::outcome_without_answer() const
 {
-    return timed_out_ ? attempt_outcome::timed_out : attempt_outcome::connection_lost;
+    return upstream_.timed_out() ? attempt_outcome::timed_out : attempt_outcome::connection_lost;
 }
 
 asio::awaitable<attempt_outcome> forwarded_request::send_and_receive(const steering::backend_server& server)
@@ -180,19 +213,20 @@
     const auto time_left = plan_.answer_by - context_.time.now();
     const auto head = make_request_head(request, context_.dialect, time_left, server.record().id);
     if (!co_await upstream_.send(head, request))
-        co_return timed_out_ ? attempt_outcome::timed_out : attempt_outcome::not_connected;
+        co_return upstream_.timed_out() ? attempt_outcome::timed_out : attempt_outcome::not_connected;
     if (!co_await upstream_.read_head())
         co_return outcome_without_answer();
     const auto outcome = classify_answer(upstream_.extract_answer_facts());
     if (outcome == attempt_outcome::answer_invalid)
         co_return outcome;
     if (!co_await upstream_.buffer_body())
-        co_return timed_out_ ? attempt_outcome::timed_out : attempt_outcome::answer_invalid;
+        co_return upstream_.timed_out() ? attempt_outcome::timed_out : attempt_outcome::answer_invalid;
     co_return outcome;
 }
 
-asio::awaitable<void> forwarded_request::deliver(steering::backend_server& server)
+asio::awaitable<void> forwarded_request::deliver(steering::backend_server* server)
 {
+    delivering_ = true;
     const auto head = make_answer_head(upstream_.connection(), exchange_->request().method);
     bool written = false;
     if (upstream_.buffered_whole()) {
@@ -208,7 +242,7 @@
 }
 
 asio::awaitable<bool> forwarded_request::stream_answer(const answer_head& head,
-                                                       steering::backend_server& server)
+                                                       steering::backend_server* server)
 {
     const auto length = upstream_.connection().content_length();
     bool written = co_await exchange_->begin_answer(head, length);
@@ -222,8 +256,8 @@
         streamed_bytes += read.bytes;
         if (read.error || (!length && streamed_bytes > max_undeclared_answer_bytes)) {
             context_.metrics.add(net::counter::answers_truncated);
-            if (!exchange_->caller_disconnected())
-                context_.steerer.answer_broke_off(server);
+            if (server != nullptr && !exchange_->caller_disconnected())
+                context_.steerer.answer_broke_off(*server);
             exchange_->abort_answer();
             co_return false;
         }
--- a/source/gateway/forwarded_request.h
+++ b/source/gateway/forwarded_request.h
@@ -2,7 +2,7 @@
 
 #include "gateway/event_log.h"
 #include "gateway/gateway_metrics.h"
-#include "gateway/upstream_exchange.h"
+#include "gateway/relay_sender.h"
 #include "steering/steerer.h"
 
 namespace knapweed::gateway {
@@ -16,13 +16,14 @@
     const http_dialect& dialect;
     gateway_metrics& metrics;
     event_log& log;
+    const relay_sender& relays;
     std::size_t in_progress = 0; ///< requests that are being forwarded now
 };
 
 /** Forwards one request of a caller to a backend server and the server's answer to the caller.
 
-    The steerer decides the next step after each attempt: send the request to a server, deliver the answer,
-    refuse the request or report an unknown outcome. This class carries the steps out.
+    The steerer decides the next step after each attempt: send the request to a server or to another instance,
+    deliver the answer, refuse the request or report an unknown outcome. This class carries the steps out.
 */
 class forwarded_request : public std::enable_shared_from_this<forwarded_request> {
 public:
@@ -37,6 +38,10 @@
 
 private:
     [[nodiscard]] steering::request_facts extract_request_facts() const;
+    /** Carries out a step that sends the request. @returns the next step, or nothing when the caller has
+       disconnected. */
+    net::asio::awaitable<std::optional<steering::next_step>> send(steering::send_step step);
+    net::asio::awaitable<std::optional<steering::next_step>> relay(steering::relay_step step);
     void arm_timer();
     void arm_silence_timer();
 
@@ -45,8 +50,9 @@
     net::asio::awaitable<steering::attempt_outcome> send_and_receive(const steering::backend_server& server);
     [[nodiscard]] steering::attempt_outcome outcome_without_answer() const;
 
-    net::asio::awaitable<void> deliver(steering::backend_server& server);
-    net::asio::awaitable<bool> stream_answer(const answer_head& head, steering::backend_server& server);
+    /** @param server that sent the answer, null when another instance passed it on. */
+    net::asio::awaitable<void> deliver(steering::backend_server* server);
+    net::asio::awaitable<bool> stream_answer(const answer_head& head, steering::backend_server* server);
     net::asio::awaitable<void> refuse(const steering::refuse_step& step);
     net::asio::awaitable<void> fail(const steering::fail_step& step);
     void log_result(std::string_view outcome, unsigned status, std::string_view reason,
@@ -58,7 +64,6 @@
     steering::request_plan plan_;
     net::asio::steady_timer timer_;
     upstream_exchange upstream_;
-    bool timed_out_ = false;  ///< the time limit of the request passed before an answer was delivered
     bool delivering_ = false; ///< the time limit no longer applies
 };
 
--- a/source/gateway/gateway.h
+++ b/source/gateway/gateway.h
@@ -90,6 +90,7 @@
     gateway_metrics metrics_;
     steering::steerer steerer_;
     net::connection_pool connections_;
+    relay_sender relays_;
     forwarder_context forwarder_;
     caller_listener callers_;
     caller_listener readiness_;
--- a/source/gateway/message_heads.cpp
+++ b/source/gateway/message_heads.cpp
@@ -2,10 +2,12 @@
 
 #include "gateway/answer_rules.h"
 #include "gateway/field_names.h"
+#include "gateway/relay_fields.h"
 #include "net/parse_number.h"
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <cstdio>
 
 namespace knapweed::gateway {
@@ -16,19 +18,13 @@
    server could close the connection while a request is on its way. */
 constexpr double reusable_idle_fraction = 0.75;
 constexpr core::milliseconds default_idle_time{4000};
+constexpr double max_parsed_seconds = 3600;
 
-} // namespace
-
-void append_field(std::string& out, std::string_view name, std::string_view value)
-{
-    out += name;
-    out += ": ";
-    out += value;
-    out += "\r\n";
-}
-
-std::string make_request_head(const caller_request& request, const http_dialect& dialect,
-                              core::duration time_left, const core::server_id& target_server)
+/** @returns the first line and the fields of a caller's request, without hop-by-hop fields, those that
+   `is_dropped` selects, and the time limit, which is replaced by @p time_left. */
+std::string begin_request_head(const caller_request& request, const http_dialect& dialect,
+                               core::duration time_left,
+                               const std::function<bool(std::string_view)>& is_dropped)
 {
     const auto connection_options = request.field("connection");
     std::string head;
@@ -39,18 +35,55 @@
     head += " HTTP/1.1\r\n";
     for (const auto& field : request.fields) {
         const bool is_replaced = is_same_field(field.name, dialect.time_limit_field) ||
-                                 is_same_field(field.name, dialect.expected_server_field);
+                                 is_same_field(field.name, dialect.expected_server_field) ||
+                                 is_dropped(field.name);
         if (!is_replaced && !is_hop_by_hop(field.name, connection_options))
             append_field(head, field.name, field.value);
     }
     const auto left_ms = std::chrono::duration_cast<core::milliseconds>(time_left);
     append_field(head, dialect.time_limit_field,
                  std::to_string(std::max<core::milliseconds::rep>(left_ms.count(), 1)));
-    append_field(head, dialect.expected_server_field, target_server.str());
+    return head;
+}
+
+/** Appends the length of the body and the empty line. */
+void end_request_head(std::string& head, const caller_request& request)
+{
     const bool has_length = !request.body.empty() || !request.field("content-length").empty();
     if (has_length || request.method == "POST" || request.method == "PUT")
         append_field(head, "Content-Length", std::to_string(request.body.size()));
     head += "\r\n";
+}
+
+} // namespace
+
+void append_field(std::string& out, std::string_view name, std::string_view value)
+{
+    out += name;
+    out += ": ";
+    out += value;
+    out += "\r\n";
+}
+
+std::string make_request_head(const caller_request& request, const http_dialect& dialect,
+                              core::duration time_left, const core::server_id& target_server)
+{
+    auto head = begin_request_head(request, dialect, time_left, [](std::string_view) { return false; });
+    append_field(head, dialect.expected_server_field, target_server.str());
+    end_request_head(head, request);
+    return head;
+}
+
+std::string make_relay_head(const caller_request& request, const http_dialect& dialect,
+                            core::duration time_left, const core::instance_id& own, unsigned max_sends)
+{
+    // A caller's own fields of these names would be taken for this instance's.
+    auto head = begin_request_head(request, dialect, time_left, [](std::string_view name) {
+        return is_same_field(name, relay_field) || is_same_field(name, relay_sends_field);
+    });
+    append_field(head, relay_field, own.str());
+    append_field(head, relay_sends_field, std::to_string(max_sends));
+    end_request_head(head, request);
     return head;
 }
 
@@ -77,7 +110,7 @@
     head.reason = "Not served";
     if (!request_id.empty())
         append_field(head.fields, dialect.request_id_field, request_id);
-    append_field(head.fields, "Knapweed-Reason", reason);
+    append_field(head.fields, reason_field, reason);
     return head;
 }
 
@@ -88,6 +121,17 @@
     return text.data();
 }
 
+core::duration parse_seconds(std::string_view text)
+{
+    double seconds = 0;
+    const auto* const end = text.data() + text.size();
+    const auto [parse_end, error] = std::from_chars(text.data(), end, seconds);
+    const bool valid = error == std::errc{} && parse_end == end && seconds >= 0;
+    if (!valid || seconds > max_parsed_seconds)
+        return core::duration::zero();
+    return std::chrono::duration_cast<core::duration>(std::chrono::duration<double>(seconds));
+}
+
 core::duration usable_idle_time(std::string_view keep_alive)
 {
     constexpr std::string_view parameter = "timeout=";
--- a/source/gateway/message_heads.h
+++ b/source/gateway/message_heads.h
@@ -15,6 +15,14 @@
 [[nodiscard]] std::string make_request_head(const caller_request& request, const http_dialect& dialect,
                                             core::duration time_left, const core::server_id& target_server);
 
+/** @returns the head of a request that is relayed to another instance: the caller's head without hop-by-hop
+    fields and without the id of a server, with the remaining time limit and the fields of `relay_fields.h`.
+    @param time_left until the answer must arrive. @param own id of this instance. @param max_sends number of
+    servers to which the other instance may send the request. */
+[[nodiscard]] std::string make_relay_head(const caller_request& request, const http_dialect& dialect,
+                                          core::duration time_left, const core::instance_id& own,
+                                          unsigned max_sends);
+
 /** @returns the head of a forwarded answer: that of the server's answer on @p connection without hop-by-hop
     fields.
     @param method of the request. */
@@ -28,6 +36,10 @@
 /** @returns a time in seconds with three decimal places. */
 [[nodiscard]] std::string format_seconds(core::duration time);
 
+/** @returns the time that a number of seconds, with or without a fraction, states; 0 for any other text, and
+    for a negative number or one above an hour. */
+[[nodiscard]] core::duration parse_seconds(std::string_view text);
+
 /** @returns how long an idle connection may be kept for reuse, from the `timeout` parameter of the server's
     Keep-Alive field; a default when it is absent. */
 [[nodiscard]] core::duration usable_idle_time(std::string_view keep_alive);
--- /dev/null
+++ b/source/gateway/relay_fields.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string_view>
+
+namespace knapweed::gateway {
+
+/** Fields that an instance adds to a request when it relays it to another instance. No server receives them.
+ */
+inline constexpr std::string_view relay_field = "Knapweed-Relay"; ///< id of the instance that relays
+/** Number of servers to which the receiving instance may send the request. */
+inline constexpr std::string_view relay_sends_field = "Knapweed-Sends";
+/** Field of each answer that an instance itself generates: the reason. */
+inline constexpr std::string_view reason_field = "Knapweed-Reason";
+
+} // namespace knapweed::gateway
--- a/source/gateway/upstream_exchange.cpp
+++ b/source/gateway/upstream_exchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/upstream_exchange.h"
 
 #include "gateway/message_heads.h"
+#include "gateway/relay_fields.h"
 #include "net/parse_number.h"
 #include "net/time_limit.h"
 
@@ -121,6 +122,7 @@
     facts.on_reused_connection = connection_->reused();
     facts.has_signature = !connection_->field(dialect_.signature_field).empty();
     facts.marked_not_run = !connection_->field(dialect_.not_run_field).empty();
+    facts.states_reason = !connection_->field(reason_field).empty();
     facts.encoded = !connection_->field("content-encoding").empty();
     return facts;
 }
@@ -146,6 +148,12 @@
     connection_.reset();
 }
 
+void upstream_exchange::time_out()
+{
+    timed_out_ = true;
+    abort();
+}
+
 void upstream_exchange::abort()
 {
     if (connection_)
--- a/source/gateway/upstream_exchange.h
+++ b/source/gateway/upstream_exchange.h
@@ -55,6 +55,9 @@
     /** Ends the attempt in progress. The upstream detects that its connection is closed and stops processing
         the request. */
     void abort();
+    /** Ends the attempt in progress because the time limit of the request has passed. */
+    void time_out();
+    [[nodiscard]] bool timed_out() const noexcept { return timed_out_; }
 
 private:
     /** Reads the body of an answer to another request. @returns false when the connection failed or the body
@@ -68,6 +71,7 @@
     std::unique_ptr<net::client_connection> connection_;
     std::string buffered_body_;
     bool buffered_whole_ = false;
+    bool timed_out_ = false;
     bool must_discard_connection_ = false; ///< it must not be reused for another request
 };
 
--- a/source/net/metrics.h
+++ b/source/net/metrics.h
@@ -34,7 +34,11 @@
     probes_sent,
     probes_failed,
     log_lines_dropped,
-    unexpected_errors
+    unexpected_errors,
+    relays_sent,     ///< requests relayed to another instance, each time
+    relays_failed,   ///< relays that did not end with a server's answer
+    relays_received, ///< requests that another instance relayed to this one
+    relays_refused   ///< those among them that exceeded the limit
 };
 
 /** Interface that receives the counts of the network layer. */
@@ -65,7 +69,7 @@
 
 template <>
 struct names_of<net::counter> {
-    static constexpr std::array<std::string_view, 29> table{"connections_accepted",
+    static constexpr std::array<std::string_view, 33> table{"connections_accepted",
                                                             "connections_refused",
                                                             "requests_received",
                                                             "requests_malformed",
@@ -93,7 +97,11 @@
                                                             "probes_sent",
                                                             "probes_failed",
                                                             "log_lines_dropped",
-                                                            "unexpected_errors"};
+                                                            "unexpected_errors",
+                                                            "relays_sent",
+                                                            "relays_failed",
+                                                            "relays_received",
+                                                            "relays_refused"};
 };
 
 template <>
--- a/tests/gateway/forwarding_fixture.cpp
+++ b/tests/gateway/forwarding_fixture.cpp
@@ -41,7 +41,8 @@
     : log_({"test"}, time_, discarded_output()),
       steerer_({core::instance_id{"i"}, {core::data_centre_id{"a"}, core::region_id{"r"}}}, time_),
       connections_(io_.get_executor(), std::chrono::seconds(4), metrics_, time_),
-      context_{io_.get_executor(), time_, steerer_, connections_, dialect_, metrics_, log_},
+      relays_(core::instance_id{"i"}, dialect_, time_),
+      context_{io_.get_executor(), time_, steerer_, connections_, dialect_, metrics_, log_, relays_},
       listener_(io_.get_executor(),
                 std::make_shared<gateway::session_context>(gateway::session_context{
                     time_, metrics_, [this] { return steerer_.policy()->limits; },
--- a/tests/gateway/forwarding_fixture.h
+++ b/tests/gateway/forwarding_fixture.h
@@ -61,6 +61,7 @@
     gateway::event_log log_;
     steering::steerer steerer_;
     net::connection_pool connections_;
+    gateway::relay_sender relays_;
     gateway::forwarder_context context_;
     gateway::caller_listener listener_;
     std::thread thread_;
