Relay a request through another instance: the receiving side

Cause: no instance accepted the requests that others relay to it. Change: gateway listens by TCP at the address of its datagrams. Requests there lose the two internal fields and carry relayed_sends (1 to 8); beyond max_relayed_requests they are refused as overloaded without begin. Heads may be 512 bytes longer there than at the callers port, for the added fields. The planned stop includes the listener. Counters, and relays and relayed_by in request_ended. The two-fixture test "a truncated answer is retried ..." read freed memory: both logs used one logger name, and the second removed the appender of the first; each fixture now has its own name. The wiring in gateway.cpp ran in no test.

--- a/source/gateway/caller_exchange.h
+++ b/source/gateway/caller_exchange.h
@@ -54,6 +54,7 @@
     ~caller_exchange();
 
     [[nodiscard]] const caller_request& request() const noexcept { return request_; }
+    [[nodiscard]] caller_request& request() noexcept { return request_; }
     [[nodiscard]] bool caller_disconnected() const noexcept { return caller_disconnected_; }
     /** Checks the socket for a connection that the caller has closed. When the process is overloaded, a
         request may be read long after its caller has disconnected, and the end of the connection is read even
--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -24,6 +24,8 @@
 constexpr int connect_round_trips = 2;
 constexpr core::milliseconds server_allowance{60};
 constexpr unsigned bad_request = 400;
+/** Stated when more requests are relayed to this instance than it accepts. */
+constexpr core::milliseconds relayed_retry_after{100};
 /** Length to which a caller's host and path are truncated in the log. */
 constexpr std::size_t max_logged_bytes = 128;
 
@@ -35,8 +37,9 @@
 
 } // namespace
 
-forwarded_request::forwarded_request(forwarder_context& context, std::shared_ptr<caller_exchange> exchange)
-    : context_(context), exchange_(std::move(exchange)),
+forwarded_request::forwarded_request(forwarder_context& context, std::shared_ptr<caller_exchange> exchange,
+                                     std::optional<relay_origin> origin)
+    : context_(context), exchange_(std::move(exchange)), origin_(std::move(origin)),
       request_id_(exchange_->request().field(context_.dialect.request_id_field)), timer_(context_.executor),
       upstream_(context_.executor, context_.connections, context_.dialect, request_id_)
 {
@@ -46,6 +49,20 @@
 forwarded_request::~forwarded_request()
 {
     --context_.in_progress;
+    if (accepted_relayed_)
+        --context_.relayed_in_progress;
+}
+
+bool forwarded_request::accept_relayed()
+{
+    context_.metrics.add(net::counter::relays_received);
+    if (context_.relayed_in_progress >= context_.steerer.max_relayed_requests()) {
+        context_.metrics.add(net::counter::relays_refused);
+        return false;
+    }
+    ++context_.relayed_in_progress;
+    accepted_relayed_ = true;
+    return true;
 }
 
 steering::request_facts forwarded_request::extract_request_facts() const
@@ -59,6 +76,8 @@
         facts.object_hash = core::hash_text(object, core::hash_text(facts.host));
     if (const auto limit = net::parse_number(request.field(context_.dialect.time_limit_field)))
         facts.time_limit = core::milliseconds(*limit);
+    if (origin_)
+        facts.relayed_sends = origin_->max_sends;
     return facts;
 }
 
@@ -76,6 +95,10 @@
         log_result("caller_left", 0, "the caller had closed its connection before the request was read", {});
         co_return;
     }
+    if (origin_ && !accept_relayed()) {
+        co_await refuse({core::refusal_reason::overloaded, relayed_retry_after});
+        co_return;
+    }
     auto step = context_.steerer.begin(extract_request_facts(), plan_);
     if (sends_request(step)) {
         arm_timer();
@@ -305,6 +328,8 @@
         line.add("host", request.field("host").substr(0, max_logged_bytes))
             .add("path", request.path().substr(0, max_logged_bytes));
     }
+    if (origin_)
+        line.add("relayed_by", origin_->instance);
     add_plan(line, plan_, context_.time.now() - request.received);
     context_.log.info(std::move(line));
 }
--- a/source/gateway/forwarded_request.h
+++ b/source/gateway/forwarded_request.h
@@ -2,6 +2,7 @@
 
 #include "gateway/event_log.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/relay_origin.h"
 #include "gateway/relay_sender.h"
 #include "steering/steerer.h"
 
@@ -17,7 +18,8 @@
     gateway_metrics& metrics;
     event_log& log;
     const relay_sender& relays;
-    std::size_t in_progress = 0; ///< requests that are being forwarded now
+    std::size_t in_progress = 0;         ///< requests that are being forwarded now
+    std::size_t relayed_in_progress = 0; ///< those among them that other instances relayed and that may run
 };
 
 /** Forwards one request of a caller to a backend server and the server's answer to the caller.
@@ -27,8 +29,9 @@
 */
 class forwarded_request : public std::enable_shared_from_this<forwarded_request> {
 public:
-    /** @param context must outlive this object. */
-    forwarded_request(forwarder_context& context, std::shared_ptr<caller_exchange> exchange);
+    /** @param context must outlive this object. @param origin of a request that another instance relays. */
+    forwarded_request(forwarder_context& context, std::shared_ptr<caller_exchange> exchange,
+                      std::optional<relay_origin> origin = std::nullopt);
     forwarded_request(const forwarded_request&) = delete;
     forwarded_request& operator=(const forwarded_request&) = delete;
     ~forwarded_request();
@@ -37,6 +40,8 @@
     net::asio::awaitable<void> run();
 
 private:
+    /** Counts a relayed request. @returns false when the limit of those in progress is reached. */
+    [[nodiscard]] bool accept_relayed();
     [[nodiscard]] steering::request_facts extract_request_facts() const;
     /** Carries out a step that sends the request. @returns the next step, or nothing when the caller has
        disconnected. */
@@ -60,10 +65,12 @@
 
     forwarder_context& context_;
     std::shared_ptr<caller_exchange> exchange_;
+    std::optional<relay_origin> origin_;
     std::string request_id_;
     steering::request_plan plan_;
     net::asio::steady_timer timer_;
     upstream_exchange upstream_;
+    bool accepted_relayed_ = false;
     bool delivering_ = false; ///< the time limit no longer applies
 };
 
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -21,8 +21,10 @@
 /** A process may have a few thousand file descriptors. Those that callers do not use are for connections to
    servers and to the platform, and for files. */
 constexpr std::size_t max_caller_sessions = 2500;
-/** Limit of each of the listeners for readiness checks, look-ups and metrics. */
+/** Limit of each of the listeners for relayed requests, readiness checks, look-ups and metrics. */
 constexpr std::size_t max_auxiliary_sessions = 500;
+/** Limit of the fields that an instance adds to the head of a request that it relays. */
+constexpr std::size_t relay_header_bytes = 512;
 /** Idle connections to servers are closed after this time unless the server specifies another. */
 constexpr core::milliseconds max_idle_time{4000};
 /** New connections are refused from this long before the end of the grace period. */
@@ -82,6 +84,10 @@
       callers_(io_.get_executor(),
                make_context([this](auto exchange) { return forward(std::move(exchange)); }),
                max_caller_sessions),
+      relayed_(io_.get_executor(),
+               make_context([this](auto exchange) { return forward_relayed(std::move(exchange)); },
+                            relay_header_bytes),
+               max_auxiliary_sessions),
       readiness_(io_.get_executor(),
                  make_context([this](auto exchange) { return answer_readiness(std::move(exchange)); }),
                  max_auxiliary_sessions),
@@ -103,11 +109,14 @@
 
 gateway::~gateway() = default;
 
-std::shared_ptr<session_context> gateway::make_context(session_context::handler handle)
+std::shared_ptr<session_context> gateway::make_context(session_context::handler handle,
+                                                       std::size_t added_header_bytes)
 {
-    auto limits = [this] {
+    auto limits = [this, added_header_bytes] {
         const auto* policy = steerer_.policy();
-        return policy == nullptr ? steering::caller_limits{} : policy->limits;
+        auto result = policy == nullptr ? steering::caller_limits{} : policy->limits;
+        result.header_bytes += added_header_bytes;
+        return result;
     };
     return std::make_shared<session_context>(
         session_context{time_, metrics_, std::move(limits), std::move(handle),
@@ -124,8 +133,8 @@
         return error ? address + ": " + error.message() : "";
     };
     for (auto failure :
-         {listen_at(callers_, settings_.caller_address), listen_at(readiness_, settings_.readiness_address),
-          listen_at(lookups_, settings_.lookup_address),
+         {listen_at(callers_, settings_.caller_address), listen_at(relayed_, settings_.peer_address),
+          listen_at(readiness_, settings_.readiness_address), listen_at(lookups_, settings_.lookup_address),
           listen_at(metrics_listener_, settings_.metrics_address)}) {
         if (!failure.empty())
             return failure;
@@ -189,6 +198,14 @@
     co_await request->run();
 }
 
+asio::awaitable<void> gateway::forward_relayed(std::shared_ptr<caller_exchange> exchange)
+{
+    auto origin = take_relay_origin(exchange->request());
+    const auto request =
+        std::make_shared<forwarded_request>(forwarder_, std::move(exchange), std::move(origin));
+    co_await request->run();
+}
+
 asio::awaitable<void> gateway::answer_readiness(std::shared_ptr<caller_exchange> exchange)
 {
     answer_head head;
@@ -276,7 +293,7 @@
     const auto stall = steerer_.tick();
     if (stall > core::duration::zero())
         log_.warn(json_line("stood_still").add_ms("for_ms", stall));
-    for (auto* listener : {&callers_, &readiness_, &lookups_, &metrics_listener_})
+    for (auto* listener : {&callers_, &relayed_, &readiness_, &lookups_, &metrics_listener_})
         listener->tick();
     if (on_tick_)
         on_tick_();
@@ -319,6 +336,7 @@
         return;
     log_.info(json_line("leaving").add("requests_in_progress", forwarder_.in_progress));
     callers_.leave();
+    relayed_.leave();
     steerer_.store_role().leave();
     messenger_.send_status();
     if (on_leaving_)
@@ -334,8 +352,11 @@
     asio::steady_timer timer(io_, settings_.grace_period - stop_accepting_before_end);
     co_await timer.async_wait(net::as_result);
     callers_.stop_accepting();
-    while (time_.now() < exit_time && (forwarder_.in_progress > 0 || callers_.sessions() > 0)) {
+    relayed_.stop_accepting();
+    while (time_.now() < exit_time &&
+           (forwarder_.in_progress > 0 || callers_.sessions() > 0 || relayed_.sessions() > 0)) {
         callers_.close_idle_sessions();
+        relayed_.close_idle_sessions();
         timer.expires_after(shutdown_poll_interval);
         co_await timer.async_wait(net::as_result);
     }
--- a/source/gateway/gateway.h
+++ b/source/gateway/gateway.h
@@ -66,8 +66,11 @@
 
 private:
     [[nodiscard]] bool ready() const;
-    [[nodiscard]] std::shared_ptr<session_context> make_context(session_context::handler handle);
+    /** @param added_header_bytes by which heads may exceed the callers' limit. */
+    [[nodiscard]] std::shared_ptr<session_context> make_context(session_context::handler handle,
+                                                                std::size_t added_header_bytes = 0);
     net::asio::awaitable<void> forward(std::shared_ptr<caller_exchange> exchange);
+    net::asio::awaitable<void> forward_relayed(std::shared_ptr<caller_exchange> exchange);
     net::asio::awaitable<void> answer_readiness(std::shared_ptr<caller_exchange> exchange);
     [[nodiscard]] std::vector<steering::lookup_candidate> lookup_candidates();
     net::asio::awaitable<void> answer_lookup(std::shared_ptr<caller_exchange> exchange);
@@ -93,6 +96,7 @@
     relay_sender relays_;
     forwarder_context forwarder_;
     caller_listener callers_;
+    caller_listener relayed_; ///< requests that other instances relay
     caller_listener readiness_;
     caller_listener lookups_;
     caller_listener metrics_listener_;
--- a/source/gateway/gateway_settings.h
+++ b/source/gateway/gateway_settings.h
@@ -16,7 +16,7 @@
     std::string caller_address;            ///< ip:port for callers' requests
     std::string readiness_address;         ///< ip:port for readiness checks
     std::string lookup_address;            ///< ip:port for look-ups of callers
-    std::string peer_address;              ///< ip:port for datagrams between instances
+    std::string peer_address;              ///< ip:port for datagrams and relayed requests between instances
     std::string metrics_address;           ///< ip:port for metrics
     std::string store_address;             ///< ip:port of the platform's store
     core::milliseconds grace_period{6000}; ///< from the stop signal to the end of the process
--- a/source/gateway/request_log.cpp
+++ b/source/gateway/request_log.cpp
@@ -32,6 +32,17 @@
         attempts_json += (attempts_json.empty() ? "" : ",") + attempt_json.str();
     }
     line.add_raw("attempts", "[" + attempts_json + "]");
+    if (plan.relays.empty())
+        return;
+    std::string relays_json;
+    for (const auto& relay : plan.relays) {
+        json_line relay_json("relay");
+        relay_json.add("instance", relay.instance.str())
+            .add("outcome", core::name_of(relay.outcome))
+            .add_ms("taken_ms", relay.taken);
+        relays_json += (relays_json.empty() ? "" : ",") + relay_json.str();
+    }
+    line.add_raw("relays", "[" + relays_json + "]");
 }
 
 } // namespace knapweed::gateway
--- a/tests/gateway/forwarding_fixture.cpp
+++ b/tests/gateway/forwarding_fixture.cpp
@@ -15,6 +15,15 @@
     return descriptor;
 }
 
+/** @returns a name for each fixture: logs of the same name share a logger, and one removes the other's
+ * output.
+ */
+std::string make_log_name()
+{
+    static std::atomic<int> fixtures = 0;
+    return "test" + std::to_string(fixtures++);
+}
+
 steering::traffic_policy make_policy(bool idempotent, core::milliseconds timeout)
 {
     steering::route route;
@@ -38,16 +47,15 @@
 
 forwarding_fixture::forwarding_fixture(std::vector<std::function<scripted_reply(const std::string&)>> scripts,
                                        bool idempotent, core::milliseconds timeout)
-    : log_({"test"}, time_, discarded_output()),
+    : log_({make_log_name()}, time_, discarded_output()),
       steerer_({core::instance_id{"i"}, {core::data_centre_id{"a"}, core::region_id{"r"}}}, time_),
       connections_(io_.get_executor(), std::chrono::seconds(4), metrics_, time_),
       relays_(core::instance_id{"i"}, dialect_, time_),
       context_{io_.get_executor(), time_, steerer_, connections_, dialect_, metrics_, log_, relays_},
       listener_(io_.get_executor(),
-                std::make_shared<gateway::session_context>(gateway::session_context{
-                    time_, metrics_, [this] { return steerer_.policy()->limits; },
-                    [this](auto exchange) { return forward(std::move(exchange)); }, [](std::string_view) {}}),
-                64)
+                make_context([this](auto exchange) { return forward(std::move(exchange)); }), 64),
+      relayed_(io_.get_executor(),
+               make_context([this](auto exchange) { return forward_relayed(std::move(exchange)); }), 64)
 {
     steerer_.servers().set_regions({{core::data_centre_id{"a"}, core::region_id{"r"}}});
     (void)steerer_.apply(make_policy(idempotent, timeout));
@@ -61,7 +69,8 @@
         record.slots = 4;
         steerer_.servers().put(record);
     }
-    if (listener_.listen({boost::asio::ip::address_v4::loopback(), 0}))
+    const net::tcp::endpoint any_port(boost::asio::ip::address_v4::loopback(), 0);
+    if (listener_.listen(any_port) || relayed_.listen(any_port))
         throw std::runtime_error("no loopback port");
     thread_ = std::thread([this] { io_.run(); });
 }
@@ -78,6 +87,31 @@
     co_await request->run();
 }
 
+net::asio::awaitable<void>
+forwarding_fixture::forward_relayed(std::shared_ptr<gateway::caller_exchange> exchange)
+{
+    auto origin = gateway::take_relay_origin(exchange->request());
+    const auto request =
+        std::make_shared<gateway::forwarded_request>(context_, std::move(exchange), std::move(origin));
+    co_await request->run();
+}
+
+std::shared_ptr<gateway::session_context>
+forwarding_fixture::make_context(gateway::session_context::handler handle)
+{
+    return std::make_shared<gateway::session_context>(
+        gateway::session_context{time_, metrics_, [this] { return steerer_.policy()->limits; },
+                                 std::move(handle), [](std::string_view) {}});
+}
+
+void forwarding_fixture::stop_relayed()
+{
+    run_on_gateway_thread([this] {
+        relayed_.leave();
+        relayed_.stop_accepting();
+    });
+}
+
 void forwarding_fixture::run_on_gateway_thread(const std::function<void()>& action)
 {
     std::promise<void> done;
--- a/tests/gateway/forwarding_fixture.h
+++ b/tests/gateway/forwarding_fixture.h
@@ -42,6 +42,12 @@
     ~forwarding_fixture();
 
     [[nodiscard]] std::uint16_t port() const { return listener_.port(); }
+    /** @returns the port for requests that other instances relay. */
+    [[nodiscard]] std::uint16_t relay_port() const { return relayed_.port(); }
+    /** @returns the number of requests of other instances that are accepted at the same time. */
+    [[nodiscard]] std::size_t max_relayed() const { return steerer_.max_relayed_requests(); }
+    /** Begins the planned stop of the listener for relayed requests. */
+    void stop_relayed();
     [[nodiscard]] upstream_fake& server(std::size_t index) { return *servers_.at(index); }
     [[nodiscard]] std::size_t requests_at_servers() const;
     /** @returns the gateway's estimate of the share of failures of a server; call it on the gateway's thread.
@@ -52,6 +58,9 @@
 
 private:
     net::asio::awaitable<void> forward(std::shared_ptr<gateway::caller_exchange> exchange);
+    net::asio::awaitable<void> forward_relayed(std::shared_ptr<gateway::caller_exchange> exchange);
+    [[nodiscard]] std::shared_ptr<gateway::session_context>
+    make_context(gateway::session_context::handler handle);
 
     std::vector<std::unique_ptr<upstream_fake>> servers_;
     core::boot_clock time_;
@@ -64,6 +73,7 @@
     gateway::relay_sender relays_;
     gateway::forwarder_context context_;
     gateway::caller_listener listener_;
+    gateway::caller_listener relayed_;
     std::thread thread_;
 };
 
