Probe the paths to the servers, and name instances that reach them

Change: link_prober opens and closes a connection to each server of next_probes in each tick, within the time limit of server connections, and logs server_paths. status states reaches_servers. Look-ups name instances that reach the servers, else the ready ones. /ready does not change.

--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -1,5 +1,6 @@
 #include "gateway/forwarded_request.h"
 
+#include "gateway/connect_limit.h"
 #include "gateway/message_heads.h"
 #include "gateway/request_log.h"
 #include "net/parse_number.h"
@@ -20,9 +21,6 @@
 /** After the request's time limit, an answer that is being delivered ends when its server sends nothing for
    this time. */
 constexpr core::milliseconds max_late_silence{2000};
-/** Time limit for opening a connection: this many round trips, and an allowance for delays at the server. */
-constexpr int connect_round_trips = 2;
-constexpr core::milliseconds server_allowance{60};
 constexpr unsigned bad_request = 400;
 /** Stated when more requests are relayed to this instance than it accepts. */
 constexpr core::milliseconds relayed_retry_after{100};
@@ -217,9 +215,9 @@
 forwarded_request::open_connection(steering::backend_server& server)
 {
     const steering::network_location server_location{server.record().data_centre, server.region()};
-    const auto round_trip = context_.steerer.distances().round_trip(server_location);
     const auto started = context_.time.now();
-    const auto failure = co_await upstream_.open(round_trip * connect_round_trips + server_allowance);
+    const auto failure =
+        co_await upstream_.open(connect_limit(context_.steerer.distances(), server_location));
     if (failure == steering::connect_failure::none)
         context_.steerer.distances().observe(server_location, context_.time.now() - started);
     co_return failure;
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -101,6 +101,7 @@
       messenger_(
           io_.get_executor(), {settings_.instance, settings_.region, incarnation_}, steerer_,
           [this] { return status(); }, [this](std::string_view error) { report_error(error); }),
+      prober_(io_.get_executor(), steerer_, log_, [this](std::string_view error) { report_error(error); }),
       settings_modified_(modification_time(settings_file_))
 {
     steerer_.servers().set_regions(settings_.data_centres);
@@ -215,17 +216,19 @@
     co_await exchange->answer(head, {});
 }
 
-std::vector<steering::lookup_candidate> gateway::lookup_candidates()
+std::vector<lookup_entry> gateway::lookup_entries()
 {
-    std::vector<steering::lookup_candidate> candidates;
-    candidates.push_back({settings_.caller_address, settings_.data_centre, settings_.capacity, ready()});
-    steerer_.peers().visit([this, &candidates](const steering::instance_status& status, bool live) {
+    std::vector<lookup_entry> entries;
+    entries.push_back({{settings_.caller_address, settings_.data_centre, settings_.capacity, ready()},
+                       !steerer_.links().is_cut()});
+    steerer_.peers().visit([this, &entries](const steering::instance_status& status, bool live) {
         if (status.location.region != settings_.region)
             return;
-        candidates.push_back({status.caller_address, status.location.data_centre, status.capacity,
-                              live && status.ready && !status.leaving});
+        entries.push_back({{status.caller_address, status.location.data_centre, status.capacity,
+                            live && status.ready && !status.leaving},
+                           status.reaches_servers});
     });
-    return candidates;
+    return entries;
 }
 
 asio::awaitable<void> gateway::answer_lookup(std::shared_ptr<caller_exchange> exchange)
@@ -237,7 +240,7 @@
         co_await exchange->answer(head, {});
         co_return;
     }
-    const auto addresses = steering::choose_instances(settings_.data_centre, lookup_candidates());
+    const auto addresses = choose_lookup_addresses(settings_.data_centre, lookup_entries());
     if (addresses.empty()) {
         head = {503, "No instance", "", {}};
     }
@@ -267,6 +270,7 @@
     status.sequence = messenger_.next_sequence();
     status.ready = ready();
     status.leaving = leaving_;
+    status.reaches_servers = !steerer_.links().is_cut();
     status.capacity = settings_.capacity;
     status.demand = steerer_.demand();
     status.store = steerer_.store_role().view();
@@ -295,6 +299,7 @@
         log_.warn(json_line("stood_still").add_ms("for_ms", stall));
     for (auto* listener : {&callers_, &relayed_, &readiness_, &lookups_, &metrics_listener_})
         listener->tick();
+    prober_.tick();
     if (on_tick_)
         on_tick_();
     if (ticks_ % ticks_per_status == 0)
--- a/source/gateway/gateway.h
+++ b/source/gateway/gateway.h
@@ -7,8 +7,9 @@
 #include "gateway/caller_listener.h"
 #include "gateway/forwarded_request.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/link_prober.h"
+#include "gateway/lookup_addresses.h"
 #include "gateway/peer_messenger.h"
-#include "steering/lookup_choice.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -72,7 +73,7 @@
     net::asio::awaitable<void> forward(std::shared_ptr<caller_exchange> exchange);
     net::asio::awaitable<void> forward_relayed(std::shared_ptr<caller_exchange> exchange);
     net::asio::awaitable<void> answer_readiness(std::shared_ptr<caller_exchange> exchange);
-    [[nodiscard]] std::vector<steering::lookup_candidate> lookup_candidates();
+    [[nodiscard]] std::vector<lookup_entry> lookup_entries();
     net::asio::awaitable<void> answer_lookup(std::shared_ptr<caller_exchange> exchange);
     net::asio::awaitable<void> answer_metrics(std::shared_ptr<caller_exchange> exchange);
     net::asio::awaitable<void> run_ticks();
@@ -102,6 +103,7 @@
     caller_listener metrics_listener_;
     core::incarnation incarnation_;
     peer_messenger messenger_;
+    link_prober prober_;
     std::function<void()> on_leaving_;
     std::function<void()> on_tick_;
     std::uint64_t ticks_ = 0;
