State in the status message that an instance reaches no server

Cause: the other instances did not learn of it. Change: servers_cut in instance_status, so that a message of an older build means that the servers are reached; tests of the codec and of the choice of look-ups.

--- a/source/gateway/status_codec.cpp
+++ b/source/gateway/status_codec.cpp
@@ -44,6 +44,7 @@
     message.set_sequence(status.sequence);
     message.set_ready(status.ready);
     message.set_leaving(status.leaving);
+    message.set_servers_cut(!status.reaches_servers);
     message.set_capacity(status.capacity);
     add_demand(message, status.demand);
     auto* store = message.mutable_store();
@@ -69,6 +70,7 @@
     status.sequence = message.sequence();
     status.ready = message.ready();
     status.leaving = message.leaving();
+    status.reaches_servers = !message.servers_cut();
     if (std::isfinite(message.capacity()) && message.capacity() > 0)
         status.capacity = message.capacity();
     status.demand = read_demand(message);
--- a/tests/gateway/parts_test.cpp
+++ b/tests/gateway/parts_test.cpp
@@ -70,6 +70,24 @@
     REQUIRE(read_gateway_settings("/nonexistent").errors.size() == 1);
 }
 
+// Guards against callers that are sent to an instance without paths to the servers, or to none at all.
+TEST_CASE("look-ups name instances that reach the servers, and if there are none, those that are ready")
+{
+    const core::data_centre_id a{"a"};
+    const core::data_centre_id b{"b"};
+    std::vector<lookup_entry> region{{{"cut", a, 1, true}, false},
+                                     {{"sound", a, 1, true}, true},
+                                     {{"not ready", a, 1, false}, true},
+                                     {{"remote", b, 1, true}, true}};
+    REQUIRE(choose_lookup_addresses(a, region) == std::vector<std::string>{"remote", "sound"});
+    region.at(1).reaches_servers = region.at(3).reaches_servers = false;
+    const auto regardless = choose_lookup_addresses(a, region);
+    REQUIRE(regardless == std::vector<std::string>{"cut", "sound"});
+    for (auto& entry : region)
+        entry.candidate.ready = false;
+    REQUIRE(choose_lookup_addresses(a, region).empty());
+}
+
 // Guards against an encoder and a decoder of messages between instances that do not match.
 TEST_CASE("status, load and table change messages are decoded as encoded, malformed ones are ignored")
 {
@@ -90,6 +108,11 @@
     REQUIRE(read_status.store.newest_change == status.store.newest_change);
     REQUIRE(decode_status(encode_status(status))->sequence == 6);
 
+    // A message without the field, such as one of an older build, states that the servers are reached.
+    REQUIRE(read_status.reaches_servers);
+    status.reaches_servers = false;
+    REQUIRE_FALSE(decode_status(encode_status(status))->reaches_servers);
+
     const steering::instance_load load{core::instance_id{"i1"}, {5}, 7, {{123, 2}, {456, 1}}};
     const auto read_load = std::get<steering::instance_load>(decode_datagram(encode_datagram(load)));
     REQUIRE(read_load.servers == load.servers);
