--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -1,12 +1,12 @@
 #include "gateway/forwarded_request.h"
 
+#include "gateway/connect_limit.h"
 #include "gateway/message_heads.h"
 #include "gateway/request_log.h"
 #include "net/parse_number.h"
-#include "net/time_limit.h"
 
 #include <algorithm>
-#include <array>
+#include <vector>
 
 namespace knapweed::gateway {
 
@@ -15,33 +15,31 @@
 
 namespace {
 
-/** Body bytes that are read before an answer is delivered. If the answer breaks off within them, the request
-   can be retried on another server, because the caller has received nothing yet. */
-constexpr std::size_t max_buffered_bytes = 32768;
 constexpr std::size_t stream_buffer_bytes = 16384;
-/** Answers to earlier requests that are skipped on one connection before the attempt fails. */
-constexpr int max_stale_answers = 2;
-constexpr std::size_t max_stale_answer_bytes = 1U << 20U;
-/** Interim answers (1xx) that may precede the answer. */
-constexpr int max_interim_answers = 4;
 /** Limit of an answer that states no length. A faulty server can send one without end. */
 constexpr std::size_t max_undeclared_answer_bytes = 64U << 20U;
 /** After the request's time limit, an answer that is being delivered ends when its server sends nothing for
    this time. */
 constexpr core::milliseconds max_late_silence{2000};
-/** Time limit for opening a connection: this many round trips, and an allowance for delays at the server. */
-constexpr int connect_round_trips = 2;
-constexpr core::milliseconds server_allowance{60};
 constexpr unsigned bad_request = 400;
-constexpr double bytes_per_kilobyte = 1024;
+/** Stated when more requests are relayed to this instance than it accepts. */
+constexpr core::milliseconds relayed_retry_after{100};
 /** Length to which a caller's host and path are truncated in the log. */
 constexpr std::size_t max_logged_bytes = 128;
 
+bool sends_request(const steering::next_step& step)
+{
+    return std::holds_alternative<steering::send_step>(step) ||
+           std::holds_alternative<steering::relay_step>(step);
+}
+
 } // namespace
 
-forwarded_request::forwarded_request(forwarder_context& context, std::shared_ptr<caller_exchange> exchange)
-    : context_(context), exchange_(std::move(exchange)),
-      request_id_(exchange_->request().field(context_.dialect.request_id_field)), timer_(context_.executor)
+forwarded_request::forwarded_request(forwarder_context& context, std::shared_ptr<caller_exchange> exchange,
+                                     std::optional<relay_origin> origin)
+    : context_(context), exchange_(std::move(exchange)), origin_(std::move(origin)),
+      request_id_(exchange_->request().field(context_.dialect.request_id_field)), timer_(context_.executor),
+      upstream_(context_.executor, context_.connections, context_.dialect, request_id_)
 {
     ++context_.in_progress;
 }
@@ -49,6 +47,20 @@
 forwarded_request::~forwarded_request()
 {
     --context_.in_progress;
+    if (accepted_relayed_)
+        --context_.relayed_in_progress;
+}
+
+bool forwarded_request::accept_relayed()
+{
+    context_.metrics.add(net::counter::relays_received);
+    if (context_.relayed_in_progress >= context_.steerer.max_relayed_requests()) {
+        context_.metrics.add(net::counter::relays_refused);
+        return false;
+    }
+    ++context_.relayed_in_progress;
+    accepted_relayed_ = true;
+    return true;
 }
 
 steering::request_facts forwarded_request::extract_request_facts() const
@@ -62,6 +74,8 @@
         facts.object_hash = core::hash_text(object, core::hash_text(facts.host));
     if (const auto limit = net::parse_number(request.field(context_.dialect.time_limit_field)))
         facts.time_limit = core::milliseconds(*limit);
+    if (origin_)
+        facts.relayed_sends = origin_->max_sends;
     return facts;
 }
 
@@ -79,28 +93,30 @@
         log_result("caller_left", 0, "the caller had closed its connection before the request was read", {});
         co_return;
     }
+    if (origin_ && !accept_relayed()) {
+        co_await refuse({core::refusal_reason::overloaded, relayed_retry_after});
+        co_return;
+    }
     auto step = context_.steerer.begin(extract_request_facts(), plan_);
-    if (std::holds_alternative<steering::send_step>(step)) {
+    if (sends_request(step)) {
         arm_timer();
         exchange_->on_caller_disconnected([weak = weak_from_this()] {
             if (const auto request = weak.lock())
-                request->abort_attempt();
+                request->upstream_.abort();
         });
     }
-    while (const auto* send = std::get_if<steering::send_step>(&step)) {
-        const auto server = send->server;
-        const auto result = co_await try_server(*send);
-        if (exchange_->caller_disconnected()) {
-            context_.steerer.attempt_abandoned(*server);
+    while (sends_request(step)) {
+        std::optional<steering::next_step> next;
+        if (const auto* relayed = std::get_if<steering::relay_step>(&step))
+            next = co_await relay(*relayed);
+        else
+            next = co_await send(std::get<steering::send_step>(step));
+        if (!next) {
             context_.metrics.add(net::counter::callers_lost);
             log_result("caller_left", 0, "the caller closed its connection", {});
             co_return;
         }
-        step = context_.steerer.attempt_ended(plan_, *server, result);
-        if (std::holds_alternative<steering::deliver_step>(step)) {
-            delivering_ = true;
-            co_await deliver(*server);
-        }
+        step = std::move(*next);
     }
     if (const auto* refused = std::get_if<steering::refuse_step>(&step))
         co_await refuse(*refused);
@@ -109,6 +125,36 @@
     timer_.cancel();
 }
 
+asio::awaitable<std::optional<steering::next_step>> forwarded_request::send(steering::send_step step)
+{
+    const auto result = co_await try_server(step);
+    if (exchange_->caller_disconnected()) {
+        context_.steerer.attempt_abandoned(*step.server);
+        co_return std::nullopt;
+    }
+    auto next = context_.steerer.attempt_ended(plan_, *step.server, result);
+    if (std::holds_alternative<steering::deliver_step>(next))
+        co_await deliver(step.server.get());
+    co_return next;
+}
+
+asio::awaitable<std::optional<steering::next_step>> forwarded_request::relay(steering::relay_step step)
+{
+    context_.metrics.add(net::counter::relays_sent);
+    const auto result = co_await context_.relays.relay(std::move(step), exchange_->request(), upstream_);
+    if (exchange_->caller_disconnected()) {
+        if (!plan_.relays.empty())
+            plan_.relays.back().outcome = steering::relay_outcome::unfinished;
+        co_return std::nullopt;
+    }
+    if (result.outcome != steering::relay_outcome::answered)
+        context_.metrics.add(net::counter::relays_failed);
+    auto next = context_.steerer.relay_ended(plan_, result);
+    if (std::holds_alternative<steering::deliver_step>(next))
+        co_await deliver(nullptr);
+    co_return next;
+}
+
 void forwarded_request::arm_timer()
 {
     timer_.expires_after(
@@ -117,8 +163,7 @@
         const auto request = weak.lock();
         if (error || !request || request->delivering_)
             return;
-        request->timed_out_ = true;
-        request->abort_attempt();
+        request->upstream_.time_out();
     });
 }
 
@@ -131,32 +176,20 @@
         max_late_silence);
     timer_.async_wait([weak = weak_from_this()](net::error_code error) {
         if (const auto request = weak.lock(); request && !error)
-            request->abort_attempt();
+            request->upstream_.abort();
     });
 }
 
-/** Ends the attempt in progress. The server detects that its connection is closed and stops processing the
-   request. */
-void forwarded_request::abort_attempt()
-{
-    if (connection_)
-        connection_->close();
-}
-
 asio::awaitable<steering::attempt_result> forwarded_request::try_server(const steering::send_step& step)
 {
     auto& server = *step.server;
     steering::attempt_result result;
     const auto started = context_.time.now();
-    buffered_answer_ = {};
-    must_discard_connection_ = false;
-    connection_ =
-        context_.connections.acquire(server.record().address, step.connection_limit, step.longest_idle);
-    if (!connection_) {
+    if (!upstream_.acquire(server.record().address, step.connection_limit, step.longest_idle)) {
         result.connecting = steering::connect_failure::limited;
         co_return result;
     }
-    if (!connection_->connected()) {
+    if (!upstream_.connected()) {
         result.connecting = co_await open_connection(server);
         result.taken = context_.time.now() - started;
         if (result.connecting != steering::connect_failure::none) {
@@ -164,7 +197,7 @@
             co_return result;
         }
     }
-    if (exchange_->caller_disconnected() || timed_out_)
+    if (exchange_->caller_disconnected() || upstream_.timed_out())
         co_return result;
     result.outcome = co_await send_and_receive(server);
     result.taken = context_.time.now() - started;
@@ -172,9 +205,9 @@
                           result.outcome != attempt_outcome::timed_out &&
                           result.outcome != attempt_outcome::not_connected;
     if (has_head)
-        extract_load(result);
+        upstream_.extract_load(result);
     if (result.outcome != attempt_outcome::answered && result.outcome != attempt_outcome::server_failed)
-        release_connection();
+        upstream_.release();
     co_return result;
 }
 
@@ -182,19 +215,17 @@
 forwarded_request::open_connection(steering::backend_server& server)
 {
     const steering::network_location server_location{server.record().data_centre, server.region()};
-    const auto round_trip = context_.steerer.distances().round_trip(server_location);
     const auto started = context_.time.now();
-    const net::time_limit connect_limit(
-        context_.executor, round_trip * connect_round_trips + server_allowance, [this] { abort_attempt(); });
-    const auto error = co_await connection_->connect();
-    if (!error)
+    const auto failure =
+        co_await upstream_.open(connect_limit(context_.steerer.distances(), server_location));
+    if (failure == steering::connect_failure::none)
         context_.steerer.distances().observe(server_location, context_.time.now() - started);
-    co_return classify_connect_error(error, connect_limit.expired());
+    co_return failure;
 }
 
 attempt_outcome forwarded_request::outcome_without_answer() const
 {
-    return timed_out_ ? attempt_outcome::timed_out : attempt_outcome::connection_lost;
+    return upstream_.timed_out() ? attempt_outcome::timed_out : attempt_outcome::connection_lost;
 }
 
 asio::awaitable<attempt_outcome> forwarded_request::send_and_receive(const steering::backend_server& server)
@@ -202,123 +233,26 @@
     const auto& request = exchange_->request();
     const auto time_left = plan_.answer_by - context_.time.now();
     const auto head = make_request_head(request, context_.dialect, time_left, server.record().id);
-    const auto written = co_await connection_->write_message(head, request.body);
-    if (written.error && written.bytes == 0)
-        co_return timed_out_ ? attempt_outcome::timed_out : attempt_outcome::not_connected;
-    // A server may answer early and close the connection without reading the whole body: its answer is valid.
-    if (written.error)
-        must_discard_connection_ = true;
-    if (request.method == "HEAD")
-        connection_->expect_no_body();
-    if (!co_await read_matching_head())
+    if (!co_await upstream_.send(head, request))
+        co_return upstream_.timed_out() ? attempt_outcome::timed_out : attempt_outcome::not_connected;
+    if (!co_await upstream_.read_head())
         co_return outcome_without_answer();
-    const auto outcome = classify_answer(extract_answer_facts());
+    const auto outcome = classify_answer(upstream_.extract_answer_facts());
     if (outcome == attempt_outcome::answer_invalid)
         co_return outcome;
-    if (!co_await buffer_body())
-        co_return timed_out_ ? attempt_outcome::timed_out : attempt_outcome::answer_invalid;
+    if (!co_await upstream_.buffer_body())
+        co_return upstream_.timed_out() ? attempt_outcome::timed_out : attempt_outcome::answer_invalid;
     co_return outcome;
 }
 
-asio::awaitable<bool> forwarded_request::read_matching_head()
-{
-    constexpr unsigned first_final_status = 200;
-    int interim_answers = 0;
-    int stale_answers = 0;
-    while (interim_answers <= max_interim_answers && stale_answers <= max_stale_answers) {
-        if (co_await connection_->read_head())
-            co_return false;
-        if (connection_->status() < first_final_status) {
-            ++interim_answers;
-        }
-        else if (is_for_another_request(extract_answer_facts())) {
-            // A late answer to an earlier request on this connection; the answer to this request may follow.
-            must_discard_connection_ = true;
-            ++stale_answers;
-            if (!co_await skip_body())
-                co_return false;
-        }
-        else {
-            co_return true;
-        }
-        connection_->expect_next_answer();
-    }
-    co_return false;
-}
-
-asio::awaitable<bool> forwarded_request::skip_body()
-{
-    std::array<char, 2048> skipped{};
-    std::size_t skipped_bytes = 0;
-    while (!connection_->complete()) {
-        const auto read = co_await connection_->read_some(skipped);
-        skipped_bytes += read.bytes;
-        if (read.error || skipped_bytes > max_stale_answer_bytes)
-            co_return false;
-    }
-    co_return true;
-}
-
-asio::awaitable<bool> forwarded_request::buffer_body()
-{
-    std::array<char, 4096> buffer{};
-    while (!connection_->complete() && buffered_answer_.body.size() < max_buffered_bytes) {
-        const auto read = co_await connection_->read_some(buffer);
-        if (read.error)
-            co_return false;
-        buffered_answer_.body.append(buffer.data(), read.bytes);
-    }
-    buffered_answer_.complete = connection_->complete();
-    co_return true;
-}
-
-answer_facts forwarded_request::extract_answer_facts() const
-{
-    const auto& dialect = context_.dialect;
-    const auto id = connection_->field(dialect.request_id_field);
-    answer_facts facts;
-    facts.status = connection_->status();
-    facts.has_request_id = !id.empty();
-    facts.matches_request = id == request_id_;
-    facts.on_reused_connection = connection_->reused();
-    facts.has_signature = !connection_->field(dialect.signature_field).empty();
-    facts.marked_not_run = !connection_->field(dialect.not_run_field).empty();
-    facts.encoded = !connection_->field("content-encoding").empty();
-    return facts;
-}
-
-void forwarded_request::extract_load(steering::attempt_result& result) const
-{
-    result.load = context_.dialect.parse_load(connection_->field(context_.dialect.load_field));
-    if (const auto remaining_ms =
-            net::parse_number(connection_->field(context_.dialect.remaining_cold_time_field)))
-        result.remaining_cold_time = core::milliseconds(*remaining_ms);
-    result.answer_kilobytes =
-        static_cast<double>(connection_->content_length().value_or(buffered_answer_.body.size())) /
-        bytes_per_kilobyte;
-}
-
-/** Returns the connection to the pool if another request may use it, and closes it otherwise. */
-void forwarded_request::release_connection()
-{
-    if (!connection_)
-        return;
-    if (must_discard_connection_)
-        connection_.reset();
-    else if (connection_->complete()) {
-        const auto idle_time = usable_idle_time(connection_->field("keep-alive"));
-        context_.connections.release(std::move(connection_), idle_time);
-    }
-    connection_.reset();
-}
-
-asio::awaitable<void> forwarded_request::deliver(steering::backend_server& server)
+asio::awaitable<void> forwarded_request::deliver(steering::backend_server* server)
 {
-    const auto head = make_answer_head(*connection_, exchange_->request().method);
+    delivering_ = true;
+    const auto head = make_answer_head(upstream_.connection(), exchange_->request().method);
     bool written = false;
-    if (buffered_answer_.complete) {
-        release_connection();
-        written = co_await exchange_->answer(head, buffered_answer_.body);
+    if (upstream_.buffered_whole()) {
+        upstream_.release();
+        written = co_await exchange_->answer(head, upstream_.buffered_body());
     }
     else {
         written = co_await stream_answer(head, server);
@@ -329,32 +263,32 @@
 }
 
 asio::awaitable<bool> forwarded_request::stream_answer(const answer_head& head,
-                                                       steering::backend_server& server)
+                                                       steering::backend_server* server)
 {
-    const auto length = connection_->content_length();
+    const auto length = upstream_.connection().content_length();
     bool written = co_await exchange_->begin_answer(head, length);
     if (written)
-        written = co_await exchange_->write_body(buffered_answer_.body);
+        written = co_await exchange_->write_body(upstream_.buffered_body());
     std::vector<char> buffer(stream_buffer_bytes);
     std::size_t streamed_bytes = 0;
-    while (written && !connection_->complete()) {
+    while (written && !upstream_.connection().complete()) {
         arm_silence_timer();
-        const auto read = co_await connection_->read_some(buffer);
+        const auto read = co_await upstream_.connection().read_some(buffer);
         streamed_bytes += read.bytes;
         if (read.error || (!length && streamed_bytes > max_undeclared_answer_bytes)) {
             context_.metrics.add(net::counter::answers_truncated);
-            if (!exchange_->caller_disconnected())
-                context_.steerer.answer_broke_off(server);
+            if (server != nullptr && !exchange_->caller_disconnected())
+                context_.steerer.answer_broke_off(*server);
             exchange_->abort_answer();
             co_return false;
         }
         written = co_await exchange_->write_body({buffer.data(), read.bytes});
     }
     if (!written) {
-        connection_.reset();
+        upstream_.discard();
         co_return false;
     }
-    release_connection();
+    upstream_.release();
     co_return co_await exchange_->end_answer();
 }
 
@@ -392,6 +326,8 @@
         line.add("host", request.field("host").substr(0, max_logged_bytes))
             .add("path", request.path().substr(0, max_logged_bytes));
     }
+    if (origin_)
+        line.add("relayed_by", origin_->instance);
     add_plan(line, plan_, context_.time.now() - request.received);
     context_.log.info(std::move(line));
 }
--- a/source/gateway/forwarded_request.h
+++ b/source/gateway/forwarded_request.h
@@ -1,11 +1,9 @@
 #pragma once
 
-#include "gateway/answer_rules.h"
-#include "gateway/caller_exchange.h"
 #include "gateway/event_log.h"
 #include "gateway/gateway_metrics.h"
-#include "gateway/http_dialect.h"
-#include "net/connection_pool.h"
+#include "gateway/relay_origin.h"
+#include "gateway/relay_sender.h"
 #include "steering/steerer.h"
 
 namespace knapweed::gateway {
@@ -19,18 +17,21 @@
     const http_dialect& dialect;
     gateway_metrics& metrics;
     event_log& log;
-    std::size_t in_progress = 0; ///< requests that are being forwarded now
+    const relay_sender& relays;
+    std::size_t in_progress = 0;         ///< requests that are being forwarded now
+    std::size_t relayed_in_progress = 0; ///< those among them that other instances relayed and that may run
 };
 
 /** Forwards one request of a caller to a backend server and the server's answer to the caller.
 
-    The steerer decides the next step after each attempt: send the request to a server, deliver the answer,
-    refuse the request or report an unknown outcome. This class carries the steps out.
+    The steerer decides the next step after each attempt: send the request to a server or to another instance,
+    deliver the answer, refuse the request or report an unknown outcome. This class carries the steps out.
 */
 class forwarded_request : public std::enable_shared_from_this<forwarded_request> {
 public:
-    /** @param context must outlive this object. */
-    forwarded_request(forwarder_context& context, std::shared_ptr<caller_exchange> exchange);
+    /** @param context must outlive this object. @param origin of a request that another instance relays. */
+    forwarded_request(forwarder_context& context, std::shared_ptr<caller_exchange> exchange,
+                      std::optional<relay_origin> origin = std::nullopt);
     forwarded_request(const forwarded_request&) = delete;
     forwarded_request& operator=(const forwarded_request&) = delete;
     ~forwarded_request();
@@ -39,35 +40,24 @@
     net::asio::awaitable<void> run();
 
 private:
-    /** Beginning of the answer's body, read before the answer is delivered. */
-    struct buffered_answer {
-        std::string body;
-        bool complete = false; ///< it is the whole body
-    };
-
+    /** Counts a relayed request. @returns false when the limit of those in progress is reached. */
+    [[nodiscard]] bool accept_relayed();
     [[nodiscard]] steering::request_facts extract_request_facts() const;
+    /** Carries out a step that sends the request. @returns the next step, or nothing when the caller has
+       disconnected. */
+    net::asio::awaitable<std::optional<steering::next_step>> send(steering::send_step step);
+    net::asio::awaitable<std::optional<steering::next_step>> relay(steering::relay_step step);
     void arm_timer();
     void arm_silence_timer();
-    void abort_attempt();
 
     net::asio::awaitable<steering::attempt_result> try_server(const steering::send_step& step);
     net::asio::awaitable<steering::connect_failure> open_connection(steering::backend_server& server);
     net::asio::awaitable<steering::attempt_outcome> send_and_receive(const steering::backend_server& server);
-    /** Reads the head of the answer to this request and skips answers to earlier ones.
-        @returns false when the connection failed or too many answers were skipped. */
-    net::asio::awaitable<bool> read_matching_head();
-    /** Reads the body of an answer to another request. @returns false when the connection failed or the body
-       is too long. */
-    net::asio::awaitable<bool> skip_body();
-    /** Reads the beginning of the body. @returns false when the connection failed. */
-    net::asio::awaitable<bool> buffer_body();
-    [[nodiscard]] answer_facts extract_answer_facts() const;
     [[nodiscard]] steering::attempt_outcome outcome_without_answer() const;
-    void extract_load(steering::attempt_result& result) const;
 
-    net::asio::awaitable<void> deliver(steering::backend_server& server);
-    net::asio::awaitable<bool> stream_answer(const answer_head& head, steering::backend_server& server);
-    void release_connection();
+    /** @param server that sent the answer, null when another instance passed it on. */
+    net::asio::awaitable<void> deliver(steering::backend_server* server);
+    net::asio::awaitable<bool> stream_answer(const answer_head& head, steering::backend_server* server);
     net::asio::awaitable<void> refuse(const steering::refuse_step& step);
     net::asio::awaitable<void> fail(const steering::fail_step& step);
     void log_result(std::string_view outcome, unsigned status, std::string_view reason,
@@ -75,14 +65,13 @@
 
     forwarder_context& context_;
     std::shared_ptr<caller_exchange> exchange_;
+    std::optional<relay_origin> origin_;
     std::string request_id_;
     steering::request_plan plan_;
     net::asio::steady_timer timer_;
-    std::unique_ptr<net::client_connection> connection_;
-    buffered_answer buffered_answer_;
-    bool timed_out_ = false;  ///< the time limit of the request passed before an answer was delivered
+    upstream_exchange upstream_;
+    bool accepted_relayed_ = false;
     bool delivering_ = false; ///< the time limit no longer applies
-    bool must_discard_connection_ = false; ///< it must not be reused for another request
 };
 
 } // namespace knapweed::gateway
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -21,8 +21,10 @@
 /** A process may have a few thousand file descriptors. Those that callers do not use are for connections to
    servers and to the platform, and for files. */
 constexpr std::size_t max_caller_sessions = 2500;
-/** Limit of each of the listeners for readiness checks, look-ups and metrics. */
+/** Limit of each of the listeners for relayed requests, readiness checks, look-ups and metrics. */
 constexpr std::size_t max_auxiliary_sessions = 500;
+/** Limit of the fields that an instance adds to the head of a request that it relays. */
+constexpr std::size_t relay_header_bytes = 512;
 /** Idle connections to servers are closed after this time unless the server specifies another. */
 constexpr core::milliseconds max_idle_time{4000};
 /** New connections are refused from this long before the end of the grace period. */
@@ -77,10 +79,15 @@
       log_({settings_.instance.str(), settings_.log_lines_per_second, 65536}, time_),
       steerer_(make_steerer_options(settings_), time_),
       connections_(io_.get_executor(), max_idle_time, metrics_, time_),
-      forwarder_{io_.get_executor(), time_, steerer_, connections_, dialect_, metrics_, log_},
+      relays_(settings_.instance, dialect_, time_),
+      forwarder_{io_.get_executor(), time_, steerer_, connections_, dialect_, metrics_, log_, relays_},
       callers_(io_.get_executor(),
                make_context([this](auto exchange) { return forward(std::move(exchange)); }),
                max_caller_sessions),
+      relayed_(io_.get_executor(),
+               make_context([this](auto exchange) { return forward_relayed(std::move(exchange)); },
+                            relay_header_bytes),
+               max_auxiliary_sessions),
       readiness_(io_.get_executor(),
                  make_context([this](auto exchange) { return answer_readiness(std::move(exchange)); }),
                  max_auxiliary_sessions),
@@ -90,10 +97,12 @@
       metrics_listener_(io_.get_executor(),
                         make_context([this](auto exchange) { return answer_metrics(std::move(exchange)); }),
                         max_auxiliary_sessions),
-      peers_(
-          io_.get_executor(), [this](const peer_message& message) { receive(message); },
-          [this](std::string_view error) { report_error(error); }),
-      incarnation_(make_incarnation()), settings_modified_(modification_time(settings_file_))
+      incarnation_(make_incarnation()),
+      messenger_(
+          io_.get_executor(), {settings_.instance, settings_.region, incarnation_}, steerer_,
+          [this] { return status(); }, [this](std::string_view error) { report_error(error); }),
+      prober_(io_.get_executor(), steerer_, log_, [this](std::string_view error) { report_error(error); }),
+      settings_modified_(modification_time(settings_file_))
 {
     steerer_.servers().set_regions(settings_.data_centres);
     steerer_.on_retry([this](core::retry_reason reason) { metrics_.count(reason); });
@@ -101,11 +110,14 @@
 
 gateway::~gateway() = default;
 
-std::shared_ptr<session_context> gateway::make_context(session_context::handler handle)
+std::shared_ptr<session_context> gateway::make_context(session_context::handler handle,
+                                                       std::size_t added_header_bytes)
 {
-    auto limits = [this] {
+    auto limits = [this, added_header_bytes] {
         const auto* policy = steerer_.policy();
-        return policy == nullptr ? steering::caller_limits{} : policy->limits;
+        auto result = policy == nullptr ? steering::caller_limits{} : policy->limits;
+        result.header_bytes += added_header_bytes;
+        return result;
     };
     return std::make_shared<session_context>(
         session_context{time_, metrics_, std::move(limits), std::move(handle),
@@ -122,8 +134,8 @@
         return error ? address + ": " + error.message() : "";
     };
     for (auto failure :
-         {listen_at(callers_, settings_.caller_address), listen_at(readiness_, settings_.readiness_address),
-          listen_at(lookups_, settings_.lookup_address),
+         {listen_at(callers_, settings_.caller_address), listen_at(relayed_, settings_.peer_address),
+          listen_at(readiness_, settings_.readiness_address), listen_at(lookups_, settings_.lookup_address),
           listen_at(metrics_listener_, settings_.metrics_address)}) {
         if (!failure.empty())
             return failure;
@@ -131,7 +143,7 @@
     const auto peer_endpoint = net::parse_address(settings_.peer_address);
     if (!peer_endpoint)
         return settings_.peer_address + ": not an address";
-    const auto error = peers_.open({peer_endpoint->address(), peer_endpoint->port()});
+    const auto error = messenger_.open({peer_endpoint->address(), peer_endpoint->port()});
     return error ? settings_.peer_address + ": " + error.message() : "";
 }
 
@@ -145,7 +157,7 @@
                   .add("store", settings_.store_address));
     wait_for_signal();
     start_lasting([this] { return run_ticks(); });
-    start_lasting([this] { return send_load_periodically(); });
+    start_lasting([this] { return messenger_.send_load_periodically(); });
     io_.run();
     log_.info(json_line("stopped").add("requests_in_progress", forwarder_.in_progress));
     log_.flush();
@@ -187,6 +199,14 @@
     co_await request->run();
 }
 
+asio::awaitable<void> gateway::forward_relayed(std::shared_ptr<caller_exchange> exchange)
+{
+    auto origin = take_relay_origin(exchange->request());
+    const auto request =
+        std::make_shared<forwarded_request>(forwarder_, std::move(exchange), std::move(origin));
+    co_await request->run();
+}
+
 asio::awaitable<void> gateway::answer_readiness(std::shared_ptr<caller_exchange> exchange)
 {
     answer_head head;
@@ -196,17 +216,19 @@
     co_await exchange->answer(head, {});
 }
 
-std::vector<steering::lookup_candidate> gateway::lookup_candidates()
+std::vector<lookup_entry> gateway::lookup_entries()
 {
-    std::vector<steering::lookup_candidate> candidates;
-    candidates.push_back({settings_.caller_address, settings_.data_centre, settings_.capacity, ready()});
-    steerer_.peers().visit([this, &candidates](const steering::instance_status& status, bool live) {
+    std::vector<lookup_entry> entries;
+    entries.push_back({{settings_.caller_address, settings_.data_centre, settings_.capacity, ready()},
+                       !steerer_.links().is_cut()});
+    steerer_.peers().visit([this, &entries](const steering::instance_status& status, bool live) {
         if (status.location.region != settings_.region)
             return;
-        candidates.push_back({status.caller_address, status.location.data_centre, status.capacity,
-                              live && status.ready && !status.leaving});
+        entries.push_back({{status.caller_address, status.location.data_centre, status.capacity,
+                            live && status.ready && !status.leaving},
+                           status.reaches_servers});
     });
-    return candidates;
+    return entries;
 }
 
 asio::awaitable<void> gateway::answer_lookup(std::shared_ptr<caller_exchange> exchange)
@@ -218,7 +240,7 @@
         co_await exchange->answer(head, {});
         co_return;
     }
-    const auto addresses = steering::choose_instances(settings_.data_centre, lookup_candidates());
+    const auto addresses = choose_lookup_addresses(settings_.data_centre, lookup_entries());
     if (addresses.empty()) {
         head = {503, "No instance", "", {}};
     }
@@ -245,9 +267,10 @@
     status.caller_address = settings_.caller_address;
     status.peer_address = settings_.peer_address;
     status.incarnation = incarnation_;
-    status.sequence = ++sequence_;
+    status.sequence = messenger_.next_sequence();
     status.ready = ready();
     status.leaving = leaving_;
+    status.reaches_servers = !steerer_.links().is_cut();
     status.capacity = settings_.capacity;
     status.demand = steerer_.demand();
     status.store = steerer_.store_role().view();
@@ -256,74 +279,6 @@
     return status;
 }
 
-void gateway::send_status()
-{
-    const auto addresses = steerer_.fanout().status_receivers();
-    if (!addresses.empty())
-        peers_.send(encode_datagram(status()), addresses);
-}
-
-void gateway::receive(const peer_message& message)
-{
-    if (const auto* status = std::get_if<steering::instance_status>(&message))
-        steerer_.peers().update(*status);
-    else if (const auto* load = std::get_if<steering::instance_load>(&message))
-        receive_load(*load);
-    else if (const auto* change = std::get_if<steering::table_change>(&message); change && on_table_change_)
-        on_table_change_(*change);
-}
-
-/** A sum over this instance's region includes its own requests, which are known better here. */
-void gateway::receive_load(const steering::instance_load& load)
-{
-    if (load.region != settings_.region) {
-        steerer_.loads_of_peers().update(load);
-    }
-    else if (!steerer_.fanout().is_hub()) {
-        auto others = load;
-        others.servers = steering::subtract(load.servers, last_sent_load_);
-        steerer_.loads_of_peers().update(others);
-    }
-}
-
-void gateway::broadcast_change(const steering::table_change& change)
-{
-    const auto datagram = encode_datagram(change);
-    const auto addresses = steerer_.peers().peer_addresses_in(settings_.region);
-    if (datagram.size() <= peer_link::max_datagram_bytes && !addresses.empty())
-        peers_.send(datagram, addresses);
-    send_status();
-}
-
-asio::awaitable<void> gateway::send_load_periodically()
-{
-    asio::steady_timer timer(io_);
-    for (std::uint64_t round = 0;; ++round) {
-        timer.expires_after(steerer_.fanout().load_interval());
-        const auto [error] = co_await timer.async_wait(net::as_result);
-        if (error)
-            co_return;
-        send_load(round);
-    }
-}
-
-/** Sends the load messages of one round; that of this instance only if it is due or has changed. */
-void gateway::send_load(std::uint64_t round)
-{
-    const auto plan = steerer_.fanout().next_load_message(round);
-    auto own = steerer_.own_load();
-    if (!plan.region_sum.empty()) {
-        const steering::instance_load sum{settings_.instance, incarnation_, ++sequence_,
-                                          steerer_.loads_of_peers().region_sum(own), settings_.region};
-        peers_.send(encode_datagram(sum), plan.region_sum);
-    }
-    if (!plan.own_load.empty() && (plan.is_due || own != last_sent_load_)) {
-        const steering::instance_load load{settings_.instance, incarnation_, ++sequence_, own, {}};
-        peers_.send(encode_datagram(load), plan.own_load);
-    }
-    last_sent_load_ = std::move(own);
-}
-
 asio::awaitable<void> gateway::run_ticks()
 {
     asio::steady_timer timer(io_);
@@ -342,12 +297,13 @@
     const auto stall = steerer_.tick();
     if (stall > core::duration::zero())
         log_.warn(json_line("stood_still").add_ms("for_ms", stall));
-    for (auto* listener : {&callers_, &readiness_, &lookups_, &metrics_listener_})
+    for (auto* listener : {&callers_, &relayed_, &readiness_, &lookups_, &metrics_listener_})
         listener->tick();
+    prober_.tick();
     if (on_tick_)
         on_tick_();
     if (ticks_ % ticks_per_status == 0)
-        send_status();
+        messenger_.send_status();
     if (ticks_ % ticks_per_second == 0) {
         connections_.close_idle();
         check_settings_file();
@@ -385,8 +341,9 @@
         return;
     log_.info(json_line("leaving").add("requests_in_progress", forwarder_.in_progress));
     callers_.leave();
+    relayed_.leave();
     steerer_.store_role().leave();
-    send_status();
+    messenger_.send_status();
     if (on_leaving_)
         on_leaving_();
     start_lasting([this] { return complete_shutdown(); });
@@ -400,8 +357,11 @@
     asio::steady_timer timer(io_, settings_.grace_period - stop_accepting_before_end);
     co_await timer.async_wait(net::as_result);
     callers_.stop_accepting();
-    while (time_.now() < exit_time && (forwarder_.in_progress > 0 || callers_.sessions() > 0)) {
+    relayed_.stop_accepting();
+    while (time_.now() < exit_time &&
+           (forwarder_.in_progress > 0 || callers_.sessions() > 0 || relayed_.sessions() > 0)) {
         callers_.close_idle_sessions();
+        relayed_.close_idle_sessions();
         timer.expires_after(shutdown_poll_interval);
         co_await timer.async_wait(net::as_result);
     }
--- a/source/gateway/gateway.h
+++ b/source/gateway/gateway.h
@@ -7,8 +7,9 @@
 #include "gateway/caller_listener.h"
 #include "gateway/forwarded_request.h"
 #include "gateway/gateway_settings.h"
-#include "gateway/peer_link.h"
-#include "steering/lookup_choice.h"
+#include "gateway/link_prober.h"
+#include "gateway/lookup_addresses.h"
+#include "gateway/peer_messenger.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -43,15 +44,13 @@
      */
     void on_table_change(std::function<void(const steering::table_change&)> callback)
     {
-        on_table_change_ = std::move(callback);
+        messenger_.on_table_change(std::move(callback));
     }
     /** Sets a function that is called about every 100 ms. */
     void on_tick(std::function<void()> callback) { on_tick_ = std::move(callback); }
 
-    /** Sends a change of the store to the instances of the region, and a status message with the version of
-       the change to all instances. A change that does not fit into a datagram is not sent: the other
-       instances read it from the store. */
-    void broadcast_change(const steering::table_change& change);
+    /** @see peer_messenger::broadcast_change */
+    void broadcast_change(const steering::table_change& change) { messenger_.broadcast_change(change); }
 
     /** @returns the next status message to the other instances. */
     [[nodiscard]] steering::instance_status status();
@@ -68,10 +67,13 @@
 
 private:
     [[nodiscard]] bool ready() const;
-    [[nodiscard]] std::shared_ptr<session_context> make_context(session_context::handler handle);
+    /** @param added_header_bytes by which heads may exceed the callers' limit. */
+    [[nodiscard]] std::shared_ptr<session_context> make_context(session_context::handler handle,
+                                                                std::size_t added_header_bytes = 0);
     net::asio::awaitable<void> forward(std::shared_ptr<caller_exchange> exchange);
+    net::asio::awaitable<void> forward_relayed(std::shared_ptr<caller_exchange> exchange);
     net::asio::awaitable<void> answer_readiness(std::shared_ptr<caller_exchange> exchange);
-    [[nodiscard]] std::vector<steering::lookup_candidate> lookup_candidates();
+    [[nodiscard]] std::vector<lookup_entry> lookup_entries();
     net::asio::awaitable<void> answer_lookup(std::shared_ptr<caller_exchange> exchange);
     net::asio::awaitable<void> answer_metrics(std::shared_ptr<caller_exchange> exchange);
     net::asio::awaitable<void> run_ticks();
@@ -81,11 +83,6 @@
     void tick();
     void reload_settings(std::string_view cause);
     void check_settings_file();
-    void receive(const peer_message& message);
-    void send_status();
-    net::asio::awaitable<void> send_load_periodically();
-    void send_load(std::uint64_t round);
-    void receive_load(const steering::instance_load& load);
 
     gateway_settings settings_;
     std::string settings_file_;
@@ -97,18 +94,18 @@
     gateway_metrics metrics_;
     steering::steerer steerer_;
     net::connection_pool connections_;
+    relay_sender relays_;
     forwarder_context forwarder_;
     caller_listener callers_;
+    caller_listener relayed_; ///< requests that other instances relay
     caller_listener readiness_;
     caller_listener lookups_;
     caller_listener metrics_listener_;
-    peer_link peers_;
+    core::incarnation incarnation_;
+    peer_messenger messenger_;
+    link_prober prober_;
     std::function<void()> on_leaving_;
-    std::function<void(const steering::table_change&)> on_table_change_;
     std::function<void()> on_tick_;
-    core::incarnation incarnation_;
-    std::uint64_t sequence_ = 0;
-    std::vector<steering::instance_load::entry> last_sent_load_; ///< the load in the last message sent
     std::uint64_t ticks_ = 0;
     std::int64_t settings_modified_ = 0; ///< modification time of the settings file
     bool leaving_ = false;
