Relay requests from real gateways whose paths to the servers are cut

Change: relay_abandoned is called when the caller leaves; a change of the paths' state is sent at once.

--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -143,8 +143,7 @@
     context_.metrics.add(net::counter::relays_sent);
     const auto result = co_await context_.relays.relay(std::move(step), exchange_->request(), upstream_);
     if (exchange_->caller_disconnected()) {
-        if (!plan_.relays.empty())
-            plan_.relays.back().outcome = steering::relay_outcome::unfinished;
+        context_.steerer.relay_abandoned(plan_);
         co_return std::nullopt;
     }
     if (result.outcome != steering::relay_outcome::answered)
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -299,10 +299,10 @@
         log_.warn(json_line("stood_still").add_ms("for_ms", stall));
     for (auto* listener : {&callers_, &relayed_, &readiness_, &lookups_, &metrics_listener_})
         listener->tick();
-    prober_.tick();
+    const bool paths_changed = prober_.tick();
     if (on_tick_)
         on_tick_();
-    if (ticks_ % ticks_per_status == 0)
+    if (paths_changed || ticks_ % ticks_per_status == 0)
         messenger_.send_status();
     if (ticks_ % ticks_per_second == 0) {
         connections_.close_idle();
--- a/source/gateway/link_prober.cpp
+++ b/source/gateway/link_prober.cpp
@@ -15,15 +15,16 @@
     : executor_(std::move(executor)), steerer_(steerer), log_(log), on_error_(std::move(on_error))
 {}
 
-void link_prober::tick()
+bool link_prober::tick()
 {
     for (const auto& server : steerer_.links().next_probes())
         start_probe(*server);
     const auto state = steerer_.links().state();
     if (state == logged_state_)
-        return;
+        return false;
     logged_state_ = state;
     log_.info(json_line("server_paths").add("state", core::name_of(state)));
+    return true;
 }
 
 void link_prober::start_probe(const steering::backend_server& server)
--- a/source/gateway/link_prober.h
+++ b/source/gateway/link_prober.h
@@ -16,8 +16,8 @@
                 net::error_hook on_error);
 
     /** Starts the probes that are due and reports their results to the steerer when they end; call it about
-        every 100 ms. */
-    void tick();
+        every 100 ms. @returns whether the state of the paths has changed since the last call. */
+    [[nodiscard]] bool tick();
 
 private:
     net::asio::awaitable<bool> probe(std::string address, core::duration limit) const;
