End a cut by reached servers, however many others have failed

A cut ended only when three in five servers of a sample could be connected; with more servers dead than that, the instance would have relayed for ever although its paths worked. With one or two servers, silence raised no doubt. Change: a cut ends after three consecutive samples in which any server was connected; silence of all servers that owe answers counts, also of one.

--- a/source/steering/link_monitor.cpp
+++ b/source/steering/link_monitor.cpp
@@ -17,9 +17,9 @@
 /** Number of servers that must have been probed in vain before the paths count as cut, or all if there are
     fewer. A data centre that fails as a whole is one of several in a sample. */
 constexpr std::size_t unreachable_servers_for_cut = 8;
-/** Part of a sample that must be connected for it to count as good while the paths are cut. */
-constexpr double min_connected_share = 0.6;
-constexpr std::size_t good_samples_for_return = 2;
+/** Consecutive samples in which a server must have been connected for the paths to count as sound again.
+    How many servers are connected doesn't matter: most of them may have failed meanwhile. */
+constexpr std::size_t good_samples_for_return = 3;
 /** Interval between samples while the paths are cut: the cost of probing against the delay of the return. */
 constexpr core::milliseconds cut_sample_interval{400};
 /** Time without samples after one that connected a server: the failures were those of servers. */
@@ -80,9 +80,7 @@
         }
         return;
     }
-    const bool good =
-        static_cast<double>(finished.connected) >= min_connected_share * static_cast<double>(finished.probes);
-    consecutive_good_samples_ = good ? consecutive_good_samples_ + 1 : 0;
+    consecutive_good_samples_ = finished.connected > 0 ? consecutive_good_samples_ + 1 : 0;
     if (consecutive_good_samples_ >= good_samples_for_return) {
         enter(link_state::sound);
         next_sample_at_ = now + pause_after_sound;
@@ -107,8 +105,9 @@
     };
     std::erase_if(failed_at_, is_old(failure_window));
     std::erase_if(answered_at_, is_old(recent_answer));
-    const bool are_all_silent =
-        silent_servers_ >= silent_servers_for_doubt && now - latest_answer_ >= silence_for_doubt;
+    const bool are_all_silent = silent_servers_ > 0 &&
+                                silent_servers_ >= std::min(silent_servers_for_doubt, servers_.size()) &&
+                                now - latest_answer_ >= silence_for_doubt;
     return are_all_silent || failed_at_.size() >= std::min(failed_servers_for_doubt, servers_.size());
 }
 
@@ -170,7 +169,7 @@
         enter(link_state::doubtful);
     }
     auto probes = choose_sample();
-    sample_ = sample{{}, probes.size(), 0, now};
+    sample_ = sample{{}, 0, now};
     for (const auto& server : probes)
         sample_->pending.insert(server->record().id);
     return probes;
--- a/source/steering/link_monitor.h
+++ b/source/steering/link_monitor.h
@@ -2,7 +2,6 @@
 
 #include "steering/server_catalogue.h"
 
-#include <deque>
 #include <map>
 #include <set>
 
@@ -17,10 +16,10 @@
 
 /** Tells the loss of this instance's paths to all servers from the failure of some servers.
 
-    Failed connections to several servers raise a doubt. Then the gateway opens connections to samples of
-    servers, those first that have answered most recently; requests of callers are not used as probes. When
-    no server of several samples can be connected, the paths count as cut, until most servers of two
-    consecutive samples can be connected again. Without failed connections nothing is probed.
+    Failed connections to several servers, or silence of all that owe answers, raise a doubt. Then the gateway
+    opens connections to samples of servers, those first that have answered most recently; requests of callers
+    are not used as probes. When no server of several samples can be connected, the paths count as cut, until
+    servers of several consecutive samples can be connected again. Without such a doubt nothing is probed.
 
     Owned by the steerer.
 */
@@ -50,7 +49,6 @@
 private:
     struct sample {
         std::set<core::server_id> pending;
-        std::size_t probes = 0;
         std::size_t connected = 0;
         core::time_point began;
     };
