Send stray bytes with the answer in the test that names them

Cause: 'a connection on which bytes follow a complete answer is not used again' failed now and then. Traced: the stray bytes came in a second segment; when they arrived only after the connection was in use again, the second request got 502, connection_lost, honestly: the only server was busy writing, and no other could answer. Change: the bytes come in the same segment as the answer, as the test's name says; a second test, with two servers, covers bytes that arrive late: the request is answered by the other server.

--- a/tests/gateway/endless_input_test.cpp
+++ b/tests/gateway/endless_input_test.cpp
@@ -155,14 +155,39 @@
     forwarding_fixture fixture({[&requests](const std::string&) {
         scripted_reply reply;
         reply.bytes = make_signed_reply("7", "whole body");
-        if (requests++ == 0)
+        if (requests++ == 0) {
+            reply.bytes += std::string(64, 'x'); // in the same segment, so that they arrive with the answer
             reply.endless = std::string(65536, 'x');
+        }
         return reply;
     }});
     test_client client(fixture.port());
     for (int i = 0; i < 2; ++i) {
         client.send(make_request("7"));
-        REQUIRE(client.read_answer().ends_with("whole body"));
+        const auto answer = client.read_answer();
+        CAPTURE(i, answer, fixture.requests_at_servers());
+        REQUIRE(answer.ends_with("whole body"));
     }
     REQUIRE(fixture.server(0).wait_for_closed(1));
 }
+
+// Guards against bytes after an answer that arrive once its connection is in use for another request.
+TEST_CASE("a request on a connection on which bytes follow late is answered by another server")
+{
+    std::atomic<int> requests = 0;
+    const auto answer_with_late_bytes = [&requests](const std::string&) {
+        scripted_reply reply;
+        reply.bytes = make_signed_reply("7", "whole body");
+        if (requests++ == 0)
+            reply.endless = std::string(65536, 'x');
+        return reply;
+    };
+    forwarding_fixture fixture({answer_with_late_bytes, answer_with_late_bytes});
+    test_client client(fixture.port());
+    for (int i = 0; i < 2; ++i) {
+        client.send(make_request("7"));
+        const auto answer = client.read_answer();
+        CAPTURE(i, answer, fixture.requests_at_servers());
+        REQUIRE(answer.ends_with("whole body"));
+    }
+}
