--- a/source/gateway/gateway.h
+++ b/source/gateway/gateway.h
@@ -94,7 +94,7 @@
     gateway_metrics metrics_;
     steering::steerer steerer_;
     net::connection_pool connections_;
-    relay_sender relays_;
+    relay_sender relays_; ///< sends requests to other instances
     forwarder_context forwarder_;
     caller_listener callers_;
     caller_listener relayed_; ///< requests that other instances relay
--- a/source/gateway/relay_fields.h
+++ b/source/gateway/relay_fields.h
@@ -4,8 +4,7 @@
 
 namespace knapweed::gateway {
 
-/** Fields that an instance adds to a request when it relays it to another instance. No server receives them.
- */
+/** Fields that an instance adds to a request when it relays it to another instance, which removes them. */
 inline constexpr std::string_view relay_field = "Knapweed-Relay"; ///< id of the instance that relays
 /** Number of servers to which the receiving instance may send the request. */
 inline constexpr std::string_view relay_sends_field = "Knapweed-Sends";
--- a/source/steering/request_relay.cpp
+++ b/source/steering/request_relay.cpp
@@ -15,8 +15,8 @@
 /** A server's answer is overdue after this many run times and the allowance. */
 constexpr int overdue_runs = 2;
 constexpr core::milliseconds overdue_allowance{200};
-/** Maximum idle time of a connection to another instance that a request may reuse. A request that must not
-   run twice uses only a connection that the other instance has hardly begun to consider idle. */
+/** Maximum idle time of a connection to another instance that a request may reuse. The other instance could
+   close a connection that has been idle for long just when a request is sent. */
 constexpr core::milliseconds max_idle_idempotent{4000};
 constexpr core::milliseconds max_idle_non_idempotent{2000};
 
--- a/source/steering/steerer.h
+++ b/source/steering/steerer.h
@@ -123,7 +123,7 @@
     peer_fanout fanout_;
     cold_sender_selector cold_senders_;
     distance_table distances_;
-    request_relay relay_;
+    request_relay relay_; ///< has other instances send requests
     region_planner planner_;
     retry_allowance retries_;
     std::unordered_map<core::service_id, service_state> services_;
