Name the function of a test without its ambiguous namespace

Cause: the linter took gateway:: for the class in a test of the failed connections. Measured: the linter is clean on the file; the test passes.

--- a/tests/gateway/parts_test.cpp
+++ b/tests/gateway/parts_test.cpp
@@ -202,12 +202,9 @@
     using steering::connect_failure;
     namespace errc = boost::system::errc;
     const auto error = [](errc::errc_t value) { return errc::make_error_code(value); };
-    REQUIRE(gateway::classify_connect_error({}, false) == connect_failure::none);
-    REQUIRE(gateway::classify_connect_error(error(errc::operation_canceled), true) ==
-            connect_failure::timed_out);
-    REQUIRE(gateway::classify_connect_error(error(errc::connection_refused), false) ==
-            connect_failure::refused);
-    REQUIRE(gateway::classify_connect_error(error(errc::connection_reset), false) ==
-            connect_failure::refused);
-    REQUIRE(gateway::classify_connect_error(error(errc::host_unreachable), false) == connect_failure::other);
+    REQUIRE(classify_connect_error({}, false) == connect_failure::none);
+    REQUIRE(classify_connect_error(error(errc::operation_canceled), true) == connect_failure::timed_out);
+    REQUIRE(classify_connect_error(error(errc::connection_refused), false) == connect_failure::refused);
+    REQUIRE(classify_connect_error(error(errc::connection_reset), false) == connect_failure::refused);
+    REQUIRE(classify_connect_error(error(errc::host_unreachable), false) == connect_failure::other);
 }
