--- a/source/net/http_client.cpp
+++ b/source/net/http_client.cpp
@@ -100,6 +100,8 @@
     if (head_error)
         co_return result;
     result.http_status = connection.status();
+    if (!observed_field_.empty())
+        result.observed_field = connection.field(observed_field_);
     const auto body_began = time_.now();
     std::array<char, 4096> buffer{};
     while (!connection.complete()) {
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -16,6 +16,7 @@
     fetch_status status = fetch_status::not_sent;
     unsigned http_status = 0;
     std::string body;
+    std::string observed_field; ///< value of the field that the client observes, empty when absent
     std::uint64_t bytes_sent = 0;
     bool reused_connection = false;
     bool timed_out = false; ///< a time limit ended the call
@@ -38,6 +39,9 @@
     http_client(const asio::any_io_executor& executor, core::duration idle_limit, counter_sink& reports,
                 const core::clock& time, std::optional<core::duration> connect_limit = std::nullopt);
 
+    /** Sets the name of a header field whose value each result holds if an answer's head was read. */
+    void observe_field(std::string name) { observed_field_ = std::move(name); }
+
     /** Sends a request and reads its whole answer.
         @param request its body must outlive the call. @param timeout for the entire call, including the time
         to connect. @param body_limit bytes; a larger answer counts as `lost`. */
@@ -62,6 +66,7 @@
     const core::clock& time_;
     connection_pool connections_;
     std::optional<core::duration> connect_limit_;
+    std::string observed_field_;
 };
 
 } // namespace knapweed::net
