Show on real gateways that a store from an older copy leaves them with what they knew before (known red)

Change: the stand-in of the store keeps its past writes, states an era, answers in pages and comes back from a copy; the operator and the servers write again what is lost. knapweed_restore: six gateways, 20 servers, a configuration, an evacuation, a server that joins and one that leaves in the time that is lost. The parts that the soak and this test share are a class of their own, store_fleet; the soak draws from its seed as before.

--- a/tests/platform/soak/soak_run.h
+++ b/tests/platform/soak/soak_run.h
@@ -1,14 +1,7 @@
 #pragma once
 
-#include "gateway_process.h"
-#include "port_block.h"
 #include "promise_checker.h"
-#include "server_stand_in.h"
-#include "soak_caller.h"
-#include "store_stand_in.h"
-#include "tcp_proxy.h"
-
-#include <boost/asio/io_context.hpp>
+#include "store_fleet.h"
 
 namespace knapweed::soak {
 
@@ -45,16 +38,15 @@
     [[nodiscard]] soak_result run();
 
 private:
-    struct server_place {
-        std::unique_ptr<server_stand_in> server;
-        std::unique_ptr<tcp_proxy> proxy;
-    };
+    using server_place = store_fleet::server_place;
 
     void start();
     void write_configuration();
-    void write_server(const server_place& place, bool leaving);
     void schedule_faults();
-    void schedule(core::milliseconds at, std::function<void()> action);
+    void schedule(core::milliseconds at, std::function<void()> action)
+    {
+        fleet_.schedule(at, std::move(action));
+    }
     void add_planned_work(core::milliseconds at);
     void add_fault(core::milliseconds at);
     void add_gateway_fault(core::milliseconds at, core::milliseconds duration);
@@ -67,25 +59,13 @@
     template <typename Item>
     [[nodiscard]] Item& any_of(std::vector<Item>& items)
     {
-        return items[random_.below(items.size())];
+        return items[fleet_.random().below(items.size())];
     }
 
     soak_options options_;
-    core::random_source random_;
-    core::random_source ports_; ///< differs between runs that share a seed and a machine
-    core::boot_clock time_;
-    event_history history_;
-    net::asio::io_context io_{1};
-    request_records records_;
+    store_fleet fleet_;
     planned_changes changes_;
     soak_result result_;
-    store_stand_in store_;
-    std::vector<std::unique_ptr<tcp_proxy>> store_links_;
-    std::vector<server_place> servers_;
-    std::unique_ptr<port_block> gateway_ports_;
-    soak_caller::gateway_list gateways_;
-    std::vector<std::unique_ptr<soak_caller>> callers_;
-    std::vector<std::unique_ptr<net::asio::steady_timer>> timers_;
     std::uint64_t configuration_ = 0;
     bool finished_ = false;
 };
--- a/tests/platform/soak/store_stand_in.cpp
+++ b/tests/platform/soak/store_stand_in.cpp
@@ -17,6 +17,7 @@
 constexpr core::milliseconds poll_interval{10};
 constexpr core::milliseconds slow_answer{700};
 constexpr core::milliseconds late_write{1500};
+constexpr std::size_t rows_per_page = 6; ///< small, so that lists take several calls
 
 /** @returns the value of a parameter of a target's query, empty when absent. */
 std::string parameter(const std::string& target, const std::string& name)
@@ -45,14 +46,68 @@
     asio::co_spawn(executor_, accept(), asio::detached);
 }
 
+void store_stand_in::write(const row_name& name, const std::string& value, bool removed)
+{
+    const row written{value, ++version_, removed};
+    tables_[name.first][name.second] = written;
+    past_writes_.push_back({std::chrono::steady_clock::now(), name, written});
+}
+
 void store_stand_in::put(const std::string& table, const std::string& key, const std::string& value)
 {
-    tables_[table][key] = {value, ++version_, false};
+    owned_rows_[{table, key}] = {value, 0, false};
+    write({table, key}, value, false);
 }
 
 void store_stand_in::remove(const std::string& table, const std::string& key)
 {
-    tables_[table][key] = {"", ++version_, true};
+    owned_rows_[{table, key}] = {"", 0, true};
+    write({table, key}, "", true);
+}
+
+bool store_stand_in::has(const std::string& table, const std::string& key) const
+{
+    const auto rows = tables_.find(table);
+    if (rows == tables_.end())
+        return false;
+    const auto found = rows->second.find(key);
+    return found != rows->second.end() && !found->second.removed;
+}
+
+void store_stand_in::restore(
+    core::milliseconds age,
+    const std::function<core::milliseconds(const std::string&, const std::string&)>& rewritten_after)
+{
+    const auto copied_at = std::chrono::steady_clock::now() - age;
+    std::erase_if(past_writes_, [copied_at](const past_write& past) { return past.at > copied_at; });
+    tables_.clear();
+    version_ = 1;
+    for (const auto& past : past_writes_) {
+        tables_[past.name.first][past.name.second] = past.written;
+        version_ = past.written.version;
+    }
+    history_begin_ = std::min(history_begin_, version_);
+    ++era_;
+    for (const auto& [name, owned] : owned_rows_) {
+        const bool is_there = has(name.first, name.second);
+        const bool is_lost =
+            owned.removed ? is_there : !is_there || tables_[name.first][name.second].value != owned.value;
+        if (is_lost)
+            asio::co_spawn(executor_, write_again(name, rewritten_after(name.first, name.second)),
+                           asio::detached);
+    }
+}
+
+asio::awaitable<void> store_stand_in::write_again(row_name name, core::milliseconds after)
+{
+    const auto era = era_;
+    asio::steady_timer pause(executor_, after);
+    co_await pause.async_wait(net::as_result);
+    const auto owned = owned_rows_.at(name);
+    const bool is_current = has(name.first, name.second) != owned.removed &&
+                            (owned.removed || tables_[name.first][name.second].value == owned.value);
+    if (era == era_ && !is_current)
+        write(name, owned.value, owned.removed);
 }
 
 void store_stand_in::set_fault(store_fault fault)
@@ -84,6 +139,7 @@
         if (!result)
             co_return; // the connection ends without an answer
         http::response<http::string_body> response(static_cast<http::status>(result->status), 11);
+        response.set("Store-Era", std::to_string(era_));
         response.body() = result->body.dump();
         response.prepare_payload();
         const auto [write_error, written] = co_await http::async_write(socket, response, net::as_result);
@@ -123,8 +179,11 @@
                                  core::milliseconds(number(parameter(target, "waitMs"))));
     }
     else {
-        result.body["rows"] = rows_after(parameter(target, "tableName"), 0, parameter(target, "from"), false);
-        result.body["hasMore"] = false;
+        auto rows = rows_after(parameter(target, "tableName"), 0, parameter(target, "from"), false);
+        result.body["hasMore"] = rows.size() > rows_per_page;
+        if (rows.size() > rows_per_page)
+            rows.erase(rows.begin() + rows_per_page, rows.end());
+        result.body["rows"] = std::move(rows);
     }
     result.body["ver"] = version_;
     if (fault == store_fault::loses_answers)
@@ -138,7 +197,7 @@
     answer result;
     asio::steady_timer pause(executor_);
     for (core::milliseconds waited{0};; waited += poll_interval) {
-        if (after < history_begin_) {
+        if (after < history_begin_ || after > version_) {
             result.status = 410;
             co_return result;
         }
@@ -172,14 +231,14 @@
 
 void store_stand_in::apply(const json& transaction)
 {
-    for (const auto& write : transaction.at("writes")) {
-        const auto value = platform::decode_base64(write.at("value").get<std::string>());
-        put(write.at("tableName"), write.at("key"), value);
+    for (const auto& entry : transaction.at("writes")) {
+        const auto value = platform::decode_base64(entry.at("value").get<std::string>());
+        write({entry.at("tableName"), entry.at("key")}, value, false);
         if (on_write_)
-            on_write_(write.at("tableName"), write.at("key"), value);
+            on_write_(entry.at("tableName"), entry.at("key"), value);
     }
     for (const auto& removal : transaction.at("remove")) {
-        remove(removal.at("tableName"), removal.at("key"));
+        write({removal.at("tableName"), removal.at("key")}, "", true);
         if (on_write_)
             on_write_(removal.at("tableName"), removal.at("key"), std::nullopt);
     }
