Compare versions of the store with their eras

Cause: callers got what configurations of before allowed, and requests reached regions outside of their homes: after the store had come back from an older copy, instances kept the greater version, asked for changes after one that the store no longer had, or, once the counter had passed it, missed changes without any sign. Change: a version counts only with its era. The store client reads the era from every answer, a refused one too, drops answers of an earlier era and lists whose pages are of two eras; a new era has both tables listed and the instance registered again. The role compares pairs of era and version, status messages and broadcast changes carry the era, and an instance that hears of a later one reads at once. A broadcast change of a later era is applied before the list of it, for an instance that the store turns away. Instances of a build without eras are no readers for those that know them. Left: asking other instances for whole tables, since each can list them. Messages: two new fields (6 in table_change, 4 in store_view); 0 or absent from builds before, which skip them.

--- a/source/gateway/gateway.h
+++ b/source/gateway/gateway.h
@@ -49,6 +49,8 @@
     /** Sets a function that is called about every 100 ms. */
     void on_tick(std::function<void()> callback) { on_tick_ = std::move(callback); }
 
+    /** Sends this instance's status to the other instances at once. */
+    void send_status() { messenger_.send_status(); }
     /** @see peer_messenger::broadcast_change */
     void broadcast_change(const steering::table_change& change) { messenger_.broadcast_change(change); }
 
--- a/source/gateway/status_codec.cpp
+++ b/source/gateway/status_codec.cpp
@@ -50,6 +50,7 @@
     auto* store = message.mutable_store();
     store->set_reads(status.store.reads);
     store->set_reachable(status.store.reachable);
+    store->set_era(status.store.era);
     for (const auto version : status.store.newest_change)
         store->add_newest_change(version);
     if (!status.region_sum)
@@ -78,6 +79,7 @@
         status.region_sum = {message.region_sum().instances(), read_demand(message.region_sum())};
     status.store.reads = message.store().reads();
     status.store.reachable = message.store().reachable();
+    status.store.era = message.store().era();
     const auto table_count =
         std::min<std::size_t>(message.store().newest_change_size(), status.store.newest_change.size());
     for (std::size_t i = 0; i < table_count; ++i)
@@ -107,6 +109,7 @@
     change.follows = message.follows();
     change.newest = message.newest();
     change.version = message.version();
+    change.era = message.era();
     for (const auto& row : message.rows())
         change.rows.push_back({row.key(), row.value(), row.version(), row.removed()});
     return change;
@@ -196,6 +199,7 @@
     message->set_follows(change.follows);
     message->set_newest(change.newest);
     message->set_version(change.version);
+    message->set_era(change.era);
     for (const auto& row : change.rows) {
         auto* added_row = message->add_rows();
         added_row->set_key(row.key);
--- a/source/steering/store_reader_role.cpp
+++ b/source/steering/store_reader_role.cpp
@@ -43,7 +43,7 @@
     const auto own_rank = reader_rank(own_, store_answers());
     std::size_t lower_ranked = 0;
     peers_.visit_live(peer_table::live_timeout, [&](const instance_status& status) {
-        if (status.location.region == region_ && !status.leaving &&
+        if (status.location.region == region_ && !status.leaving && is_comparable(status) &&
             reader_rank(status.instance, status.store.reachable) < own_rank)
             ++lower_ranked;
     });
@@ -53,8 +53,9 @@
 bool store_reader_role::has_reader() const
 {
     bool found = false;
-    peers_.visit_live(reader_valid_for,
-                      [&found](const instance_status& status) { found = found || status.store.reads; });
+    peers_.visit_live(reader_valid_for, [this, &found](const instance_status& status) {
+        found = found || (status.store.reads && is_comparable(status));
+    });
     return found;
 }
 
@@ -78,38 +79,64 @@
 bool store_reader_role::is_outdated(replicated_table table) const
 {
     const auto& copy = copies_.at(index_of(table));
-    return copy.newest_of_peers > copy.version;
+    return copy.newest_of_peers > copy.position || copy.position.era < era_;
 }
 
 bool store_reader_role::is_behind(replicated_table table) const
 {
-    const auto& since = copies_.at(index_of(table)).behind_since;
-    return since && time_.now() - *since >= change_delivery_time;
+    const auto& copy = copies_.at(index_of(table));
+    if (!copy.behind_since)
+        return false;
+    const bool is_new_era = copy.newest_of_peers.era > std::max(copy.position.era, copy.checked_era);
+    return is_new_era || time_.now() - *copy.behind_since >= change_delivery_time;
 }
 
 void store_reader_role::set_table_version(replicated_table table, std::uint64_t newest_change,
                                           std::uint64_t version)
 {
     auto& copy = copies_.at(index_of(table));
-    copy.newest_change = std::max(copy.newest_change, newest_change);
-    copy.version = std::max(copy.version, version);
+    copy.newest_change = std::max(copy.newest_change, {era_, newest_change});
+    copy.position = std::max(copy.position, {era_, version});
+    copy.checked_era = copy.newest_of_peers.era;
     copy.behind_since.reset();
 }
 
+void store_reader_role::set_listed(replicated_table table, std::uint64_t newest_change, std::uint64_t version)
+{
+    auto& copy = copies_.at(index_of(table));
+    copy.newest_change = {};
+    copy.position = {};
+    set_table_version(table, newest_change, version);
+}
+
 bool store_reader_role::can_apply(const table_change& change) const
+{
+    const auto& position = copies_.at(index_of(change.table)).position;
+    return position.version > 0 && change.era == position.era && change.follows <= position.version &&
+           change.newest > position.version;
+}
+
+bool store_reader_role::is_of_later_era(const table_change& change) const
 {
     const auto& copy = copies_.at(index_of(change.table));
-    return copy.version > 0 && change.follows <= copy.version && change.newest > copy.version;
+    const store_position newest{change.era, change.newest};
+    return copy.position.version > 0 && change.era > copy.position.era && newest > copy.applied_of_later;
+}
+
+void store_reader_role::record_applied(const table_change& change)
+{
+    copies_.at(index_of(change.table)).applied_of_later = {change.era, change.newest};
 }
 
 std::uint64_t store_reader_role::newest_change(replicated_table table) const
 {
-    return copies_.at(index_of(table)).newest_change;
+    const auto& newest = copies_.at(index_of(table)).newest_change;
+    return newest.era == era_ ? newest.version : 0;
 }
 
 std::uint64_t store_reader_role::version(replicated_table table) const
 {
-    return copies_.at(index_of(table)).version;
+    return copies_.at(index_of(table)).position.version;
 }
 
 bool store_reader_role::store_reachable() const
@@ -130,15 +157,18 @@
 
 void store_reader_role::tick()
 {
-    std::array<std::uint64_t, number_of_replicated_tables> newest_of_peers{};
-    peers_.visit_live(peer_table::live_timeout, [&newest_of_peers](const instance_status& status) {
+    std::array<store_position, number_of_replicated_tables> newest_of_peers{};
+    peers_.visit_live(peer_table::live_timeout, [this, &newest_of_peers](const instance_status& status) {
+        if (!is_comparable(status))
+            return;
         for (std::size_t i = 0; i < newest_of_peers.size(); ++i)
-            newest_of_peers.at(i) = std::max(newest_of_peers.at(i), status.store.newest_change.at(i));
+            newest_of_peers.at(i) =
+                std::max(newest_of_peers.at(i), {status.store.era, status.store.newest_change.at(i)});
     });
     for (std::size_t i = 0; i < newest_of_peers.size(); ++i) {
         auto& copy = copies_.at(i);
         copy.newest_of_peers = newest_of_peers.at(i);
-        if (newest_of_peers.at(i) <= copy.version)
+        if (copy.newest_of_peers <= copy.position)
             copy.behind_since.reset();
         else if (!copy.behind_since)
             copy.behind_since = time_.now();
@@ -150,8 +180,9 @@
     store_view view;
     view.reads = is_reader();
     view.reachable = store_answers();
-    for (std::size_t i = 0; i < copies_.size(); ++i)
-        view.newest_change.at(i) = copies_.at(i).newest_change;
+    view.era = era_;
+    for (const auto table : {replicated_table::operators, replicated_table::servers})
+        view.newest_change.at(index_of(table)) = newest_change(table);
     return view;
 }
 
--- a/source/steering/store_reader_role.h
+++ b/source/steering/store_reader_role.h
@@ -15,6 +15,10 @@
    one instance of each region goes on trying. An instance that hears of no reader watches the store by
    itself.
 
+    When the store comes back from an older copy of its rows, the instances hear of its new era from its
+   answers or from each other, and read the tables as a whole. Until then the changes that a reader broadcasts
+   are applied to the copies of before, because they are newer than all that these hold.
+
     Calls to the store are limited and cost money. If every instance watched both tables, the number of calls
     would grow with the product of instances and changes.
 */
@@ -35,12 +39,24 @@
 
     /** Records whether the store answered the latest call. */
     void record_call(bool answered);
+    /** Records the era that the store states. Versions that are recorded afterwards belong to it. */
+    void set_era(std::uint64_t era) { era_ = era; }
+    /** @returns the latest era that the store stated to this instance, 0 when it stated none. */
+    [[nodiscard]] std::uint64_t era() const noexcept { return era_; }
+
     /** Records that the copy of a table is complete up to a version of the store.
         @param newest_change version of the newest change in the table. */
     void set_table_version(replicated_table table, std::uint64_t newest_change, std::uint64_t version);
+    /** Records that the copy of a table was replaced by a list that is complete up to a version. */
+    void set_listed(replicated_table table, std::uint64_t newest_change, std::uint64_t version);
     /** @returns whether the change can be applied to the copy: the copy has all changes before it, but not
      * this one. */
     [[nodiscard]] bool can_apply(const table_change& change) const;
+    /** @returns whether the change belongs to a later era than the copy. Its rows are newer than those of the
+     * copy, but other changes may be missing. */
+    [[nodiscard]] bool is_of_later_era(const table_change& change) const;
+    /** Records that the rows of a change of a later era were applied. */
+    void record_applied(const table_change& change);
     /** @returns the version of the newest change in the copy of a table. */
     [[nodiscard]] std::uint64_t newest_change(replicated_table table) const;
     /** @returns the version of the store up to which the copy of a table is complete; 0 without a copy. */
@@ -61,14 +77,22 @@
 
 private:
     struct table_copy {
-        std::uint64_t newest_change = 0;
-        std::uint64_t version = 0;
-        std::uint64_t newest_of_peers = 0; ///< newest change that another instance has
+        store_position newest_change;
+        store_position position;         ///< the copy is complete up to it
+        store_position newest_of_peers;  ///< newest change that another instance has
+        store_position applied_of_later; ///< newest change of a later era whose rows were applied
+        std::uint64_t checked_era = 0;   ///< of another instance when the store was read last
         /** When a status message first showed that another instance has a newer change. */
         std::optional<core::time_point> behind_since;
     };
 
     [[nodiscard]] bool has_reader() const;
+    /** @returns whether the versions of another instance can be compared with those of this one: an instance
+     * of a build that doesn't know eras may still hold versions of an earlier one. */
+    [[nodiscard]] bool is_comparable(const instance_status& status) const
+    {
+        return era_ == 0 || status.store.era != 0;
+    }
     /** @returns whether the store answers this instance, a single failure aside. */
     [[nodiscard]] bool store_answers() const;
 
@@ -77,6 +101,7 @@
     const peer_table& peers_;
     const core::clock& time_;
     std::array<table_copy, number_of_replicated_tables> copies_;
+    std::uint64_t era_ = 0;
     bool calls_answered_ = false;
     /** Consecutive calls without an answer. An instance that has made no call counts as one that failed. */
     unsigned failures_ = 1;
--- a/source/steering/table_change.h
+++ b/source/steering/table_change.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -18,6 +19,15 @@
     return static_cast<std::size_t>(table);
 }
 
+/** A version of the store with its era, which rises whenever the store comes back from an older copy of its
+   rows. It then gives versions out again, so versions of two eras can't be compared. */
+struct store_position {
+    std::uint64_t era = 0; ///< 0 when the store states none
+    std::uint64_t version = 0;
+
+    friend auto operator<=>(const store_position&, const store_position&) = default;
+};
+
 /** A row of a table, or the removal of one. */
 struct table_row {
     std::string key;
@@ -33,6 +43,7 @@
     std::uint64_t follows = 0;
     std::uint64_t newest = 0;  ///< version of the newest of these changes
     std::uint64_t version = 0; ///< version of the store up to which the table has no other changes
+    std::uint64_t era = 0;     ///< of all these versions
     std::vector<table_row> rows;
 };
 
@@ -40,8 +51,9 @@
 struct store_view {
     bool reads = false;     ///< the instance is the reader of its region and sends the changes to it
     bool reachable = false; ///< the store answered its last call
+    std::uint64_t era = 0;  ///< of the versions; 0 also in the messages of a build that doesn't know eras
     std::array<std::uint64_t, number_of_replicated_tables>
-        newest_change{}; ///< versions, by `index_of` the table
+        newest_change{}; ///< versions, by `index_of` the table; 0 without a copy of this era
 };
 
 } // namespace knapweed::steering
--- a/tests/gateway/parts_test.cpp
+++ b/tests/gateway/parts_test.cpp
@@ -99,12 +99,13 @@
     status.sequence = 6;
     status.ready = true;
     status.demand[core::service_id{"orders"}] = 12.5;
-    status.store = {true, true, {7, 9}};
+    status.store = {true, true, 3, {7, 9}};
     const auto read_status = std::get<steering::instance_status>(decode_datagram(encode_datagram(status)));
     REQUIRE(read_status.instance == status.instance);
     REQUIRE(read_status.demand == status.demand);
     REQUIRE(read_status.ready);
     REQUIRE(read_status.store.reads);
+    REQUIRE(read_status.store.era == 3);
     REQUIRE(read_status.store.newest_change == status.store.newest_change);
     REQUIRE(decode_status(encode_status(status))->sequence == 6);
 
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -220,6 +220,42 @@
     }
 }
 
+// Guards against a list whose first pages come from rows that the store has lost.
+TEST_CASE("a list whose pages are of two eras, and a late answer of an earlier era, count as failed")
+{
+    core::boot_clock time;
+    gateway::gateway_metrics metrics;
+    boost::asio::io_context io;
+    net::http_client http(io.get_executor(), std::chrono::seconds(1), metrics, time);
+    std::vector<std::string> eras{"4", "5", "5", "5", "4", "garbage"};
+    const test::upstream_fake store([&](const std::string&) {
+        const auto era = eras.front();
+        eras.erase(eras.begin());
+        const bool more = era == "4" && eras.size() == 5;
+        return test::scripted_reply{test::make_reply(
+            "200 OK", "Store-Era: " + era + "\r\n",
+            std::string(R"({"rows":[{"key":"k)") + era + R"(","value":"","ver":1}],"ver":7,)" +
+                (more ? R"("hasMore":true})" : R"("hasMore":false})"))};
+    });
+    std::vector<std::uint64_t> seen;
+    store_client client(http, store.address(), metrics, [&seen](std::uint64_t era) { seen.push_back(era); });
+    const auto list = [&] {
+        read_result result;
+        io.restart();
+        boost::asio::co_spawn(
+            io, client.list("op", core::milliseconds(2000)),
+            [&result](const std::exception_ptr&, read_result outcome) { result = std::move(outcome); });
+        io.run();
+        return result;
+    };
+    REQUIRE(list().failure == read_failure::outdated); // pages of 4 and 5
+    REQUIRE(list().status == read_status::ok);
+    REQUIRE(list().status == read_status::ok);
+    REQUIRE(list().failure == read_failure::outdated); // 4 after 5
+    REQUIRE(list().status == read_status::ok);         // states none that can be read
+    REQUIRE(seen == std::vector<std::uint64_t>{4, 5});
+}
+
 // Guards against a configuration that never takes effect because its transfer exceeds the time limit of a
 // call.
 TEST_CASE("a configuration takes effect however long a steady transfer takes")
@@ -279,6 +315,7 @@
     reader.incarnation = {1};
     reader.store.reads = true;
     reader.store.reachable = true;
+    reader.store.era = 1;
     const auto update_readers = [&reader](steering::steerer& steerer) {
         // Readers are chosen by a hash of their names: one of these is chosen instead of the instance under
         // test.
--- a/tests/platform/store_fake.cpp
+++ b/tests/platform/store_fake.cpp
@@ -49,9 +49,34 @@
     bytes_per_second_ = bytes_per_second;
 }
 
+store_fake::table_copy store_fake::copy() const
+{
+    const std::lock_guard lock(mutex_);
+    return {tables_, version_};
+}
+
+void store_fake::restore(const table_copy& older)
+{
+    const std::lock_guard lock(mutex_);
+    tables_ = older.tables;
+    version_ = older.version;
+    ++era_;
+}
+
+std::uint64_t store_fake::version() const
+{
+    const std::lock_guard lock(mutex_);
+    return version_;
+}
+
+std::string store_fake::make_answer(const std::string& status, const std::string& body) const
+{
+    return make_reply(status, "Store-Era: " + std::to_string(era_) + "\r\n", body);
+}
+
 scripted_reply store_fake::reply_with(const std::string& body) const
 {
-    scripted_reply reply{make_reply("200 OK", "", body)};
+    scripted_reply reply{make_answer("200 OK", body)};
     reply.bytes_per_second = bytes_per_second_;
     return reply;
 }
@@ -129,19 +154,21 @@
         {
             const std::lock_guard lock(mutex_);
             if (fault_ == fault::refuse)
-                return {make_reply("503 Busy", "", "")};
+                return {make_answer("503 Busy", "")};
             if (fault_ == fault::silent)
                 return {"", false, true};
             if (fault_ == fault::garbage)
-                return {make_reply("200 OK", "", "{\"rows\":5}")};
+                return {make_answer("200 OK", "{\"rows\":5}")};
             if (is_feed && fault_ == fault::lose_history)
-                return {make_reply("410 Gone", "", "{}")};
+                return {make_answer("410 Gone", "{}")};
             if (target.find("/rows-tx") != std::string::npos) {
                 write(request);
-                return {make_reply("200 OK", "", "{\"ver\":" + std::to_string(version_) + ",\"nowMs\":1}")};
+                return {make_answer("200 OK", "{\"ver\":" + std::to_string(version_) + ",\"nowMs\":1}")};
             }
             if (!is_feed)
                 return reply_with(list(target));
+            if (std::stoull(parameter(target, "after")) > version_)
+                return {make_answer("410 Gone", "{}")};
             auto changes = feed(target);
             if (changes.find("\"rows\":[]") == std::string::npos || rounds == 20)
                 return reply_with(changes);
--- a/tests/platform/store_fake.h
+++ b/tests/platform/store_fake.h
@@ -15,12 +15,29 @@
         reads of the feed with 410, `garbage` answers with malformed rows. */
     enum class fault { none, refuse, silent, lose_history, garbage };
 
+    struct row {
+        std::string value;
+        std::uint64_t version = 0;
+        bool removed = false;
+    };
+    using table = std::map<std::string, row>;
+    struct table_copy {
+        std::map<std::string, table> tables;
+        std::uint64_t version = 0;
+    };
+
     store_fake();
 
     [[nodiscard]] std::string address() const { return server_.address(); }
     void put(const std::string& table, const std::string& key, const std::string& value);
     void remove(const std::string& table, const std::string& key);
     void set_fault(fault new_fault);
+    /** @returns a copy of the rows, from which the store can come back later. */
+    [[nodiscard]] table_copy copy() const;
+    /** Comes back from an older copy, in the next era. */
+    void restore(const table_copy& older);
+    /** @returns the version of the newest row. */
+    [[nodiscard]] std::uint64_t version() const;
     /** Sets the rate at which answers are sent. @param bytes_per_second 0 for no limit. */
     void set_rate(std::size_t bytes_per_second);
     /** @returns whether a row exists and has not been removed. */
@@ -29,15 +46,9 @@
     [[nodiscard]] std::size_t calls() const { return server_.requests().size(); }
 
 private:
-    struct row {
-        std::string value;
-        std::uint64_t version = 0;
-        bool removed = false;
-    };
-    using table = std::map<std::string, row>;
-
     scripted_reply answer(const std::string& request);
     [[nodiscard]] scripted_reply reply_with(const std::string& body) const;
+    [[nodiscard]] std::string make_answer(const std::string& status, const std::string& body) const;
     [[nodiscard]] std::string list(const std::string& target) const;
     [[nodiscard]] std::string feed(const std::string& target);
     void write(const std::string& request);
@@ -47,6 +58,7 @@
     mutable std::mutex mutex_;
     std::map<std::string, table> tables_;
     std::uint64_t version_ = 0;
+    std::uint64_t era_ = 1;
     fault fault_ = fault::none;
     std::size_t bytes_per_second_ = 0;
     upstream_fake server_;
--- a/tests/steering/store_reader_role_test.cpp
+++ b/tests/steering/store_reader_role_test.cpp
@@ -225,3 +225,90 @@
     own.role.record_call(false);
     REQUIRE_FALSE(own.role.store_reachable()); // it is the reader of its own region
 }
+
+// Guards against versions that are compared although the store has given them out again.
+TEST_CASE("versions of an earlier era are older than any of a later one")
+{
+    region_fixture region(3);
+    for (auto& instance : region.members) {
+        instance->role.set_era(1);
+        instance->role.set_table_version(replicated_table::operators, 60, 68);
+    }
+    region.advance(milliseconds(600));
+    auto& reader = *region.members.at(region.readers().front());
+    auto& follower = region.follower();
+    table_change late;
+    late.follows = 60;
+    late.newest = 69;
+    late.version = 69;
+    late.era = 1;
+    REQUIRE(reader.role.can_apply(late));
+
+    reader.role.set_era(2);
+    REQUIRE(reader.role.is_outdated(replicated_table::operators)); // until it has listed the table
+    reader.role.set_listed(replicated_table::operators, 40, 41);
+    REQUIRE(reader.role.version(replicated_table::operators) == 41);
+    REQUIRE_FALSE(reader.role.is_outdated(replicated_table::operators));
+    REQUIRE_FALSE(reader.role.can_apply(late));
+    REQUIRE_FALSE(reader.role.is_of_later_era(late));
+
+    region.advance(milliseconds(500));
+    REQUIRE(follower.role.is_outdated(replicated_table::operators));
+    REQUIRE(follower.role.is_behind(replicated_table::operators)); // at once
+    auto change = late;
+    change.era = 2;
+    change.newest = 45;
+    REQUIRE_FALSE(follower.role.can_apply(change));
+    REQUIRE(follower.role.is_of_later_era(change));
+    follower.role.record_applied(change);
+    REQUIRE_FALSE(follower.role.is_of_later_era(change)); // the same datagram again
+    follower.role.set_era(2);
+    follower.role.set_listed(replicated_table::operators, 45, 46);
+    REQUIRE_FALSE(follower.role.is_behind(replicated_table::operators));
+    REQUIRE(reader.role.version(replicated_table::operators) == 41);
+}
+
+// Guards against calls to the store in quick succession because an instance claims an era that the store
+// doesn't state.
+TEST_CASE("an era that the store doesn't confirm is looked into no more often than a missed change")
+{
+    region_fixture region(2);
+    for (auto& instance : region.members) {
+        instance->role.set_era(1);
+        instance->role.set_table_version(replicated_table::servers, 10, 10);
+    }
+    region.advance(milliseconds(600));
+    auto& mistaken = *region.members.at(0);
+    auto& other = *region.members.at(1);
+    mistaken.role.set_era(9);
+    mistaken.role.set_listed(replicated_table::servers, 5, 5);
+    region.advance(milliseconds(500));
+    REQUIRE(other.role.is_behind(replicated_table::servers));
+    other.role.set_table_version(replicated_table::servers, 10, 12); // read, still in the first era
+    region.advance(milliseconds(100));
+    REQUIRE_FALSE(other.role.is_behind(replicated_table::servers));
+}
+
+// Guards against instances that miss all changes because only those of an earlier build read the store, and
+// against a copy that is compared with versions of which the era is unknown.
+TEST_CASE("an instance that states no era is no reader for instances that know the era")
+{
+    region_fixture region(4);
+    auto& first = *region.members.at(0);
+    region.advance(milliseconds(600));
+    REQUIRE(region.readers().size() == 1);
+    first.role.set_era(3);
+    first.role.set_listed(replicated_table::servers, 20, 20);
+    for (std::size_t i = 1; i < region.members.size(); ++i)
+        region.members.at(i)->role.set_table_version(replicated_table::servers, 500, 500);
+    region.advance(milliseconds(600));
+    REQUIRE(first.role.is_reader());
+    REQUIRE_FALSE(first.role.is_behind(replicated_table::servers));
+    table_change change;
+    change.table = replicated_table::servers;
+    change.follows = 20;
+    change.newest = 501;
+    change.version = 501;
+    REQUIRE_FALSE(first.role.can_apply(change));
+    REQUIRE_FALSE(first.role.is_of_later_era(change));
+}
