Follow a configuration whose number was given out again for other content

Cause: a store that comes back from an older copy may hold another configuration under the number of the one in force; by its number alone it was not newer, so it never took effect. Change: a configuration supersedes the current one if its version is higher, or the same with other text.

--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -63,7 +63,7 @@
 
 bool steerer::apply(traffic_policy policy)
 {
-    if (routes_ && policy.version <= routes_->policy()->version)
+    if (routes_ && !supersedes(policy, *routes_->policy()))
         return false;
     routes_ = std::make_unique<route_table>(std::make_shared<const traffic_policy>(std::move(policy)));
     shares_.keep_only(*routes_->policy());
--- a/source/steering/steerer.h
+++ b/source/steering/steerer.h
@@ -57,7 +57,7 @@
     /** @param time must outlive this object. */
     steerer(steerer_options options, const core::clock& time);
 
-    /** Applies a configuration. @returns false, without a change, if it is not newer than the current one. */
+    /** Applies a configuration. @returns false, without a change, if it doesn't supersede the current one. */
     bool apply(traffic_policy policy);
     /** @returns the current configuration, or null before the first. */
     [[nodiscard]] const traffic_policy* policy() const;
--- a/source/steering/traffic_policy.h
+++ b/source/steering/traffic_policy.h
@@ -46,9 +46,18 @@
 /** A complete version of the operators' configuration. */
 struct traffic_policy {
     std::uint64_t version = 0;
+    std::uint64_t content_hash = 0; ///< of its text in the store
     std::vector<route> routes;
     std::map<core::service_id, service_policy> services;
     caller_limits limits;
 };
 
+/** @returns whether a configuration takes the place of the current one: its version is higher, or the same
+   with other content, which a store that gives numbers out again may hold. */
+[[nodiscard]] inline bool supersedes(const traffic_policy& candidate, const traffic_policy& current)
+{
+    return candidate.version > current.version ||
+           (candidate.version == current.version && candidate.content_hash != current.content_hash);
+}
+
 } // namespace knapweed::steering
--- a/tests/steering/steerer_test.cpp
+++ b/tests/steering/steerer_test.cpp
@@ -225,3 +225,20 @@
     fixture.steerer.store_role().set_table_version(replicated_table::operators, 9, 9);
     REQUIRE(refusal_of_new_path().reason == core::refusal_reason::unknown_path);
 }
+
+// Guards against an older configuration that takes effect, and against one that never does because its number
+// was given out again for another content.
+TEST_CASE("a configuration is superseded by a higher version, or by other content of the same version")
+{
+    test::steerer_fixture fixture;
+    auto policy = test::sample_policy(12);
+    policy.content_hash = 1;
+    REQUIRE(fixture.steerer.apply(policy));
+    REQUIRE_FALSE(fixture.steerer.apply(policy));
+    auto older = test::sample_policy(9);
+    older.content_hash = 2;
+    REQUIRE_FALSE(fixture.steerer.apply(older));
+    policy.content_hash = 3;
+    REQUIRE(fixture.steerer.apply(policy));
+    REQUIRE(fixture.steerer.apply(test::sample_policy(16)));
+}
