Let what was known of servers and evacuations go before an older copy of the store until it has settled

Cause: callers' requests reached servers that had left and servers of an evacuated data centre, and servers that had joined got none: a list of the store replaced all that instances knew, also when the store had come back from a copy that lacked their latest rows. Change: for 2 s from the first list of an era, servers that joined within the last minute and evacuations stay as they were known; a process that has begun to leave stays leaving until it starts again; entries of servers that had left, or of an earlier process, are used only if they are still there after 6 s. The time runs from the list and not from the news of the era: a refused answer states the era too. Left: merging both states row by row, since a removal in the copy can't be told from a row that it lacks.

--- a/source/steering/backend_server.cpp
+++ b/source/steering/backend_server.cpp
@@ -5,7 +5,7 @@
 namespace knapweed::steering {
 
 backend_server::backend_server(server_record record, core::region_id region, const core::clock& time)
-    : time_(time), record_(std::move(record)), region_(std::move(region)),
+    : time_(time), known_since_(time.now()), record_(std::move(record)), region_(std::move(region)),
       id_hash_(core::hash_text(record_.id.str())), slots_(std::max(record_.slots, 1U)), occupancy_(time),
       failures_(time), cold_start_(time), limit_(time), speed_(time)
 {
@@ -20,6 +20,7 @@
     }
     replaced_ = replaced_ && record.address == record_.address;
     slots_ = std::max(record.slots, 1U);
+    record.leaving = record.leaving || record_.leaving;
     record_ = std::move(record);
 }
 
--- a/source/steering/backend_server.h
+++ b/source/steering/backend_server.h
@@ -42,8 +42,11 @@
      * report, at least 1. */
     [[nodiscard]] unsigned slots() const noexcept { return slots_; }
 
-    /** Applies a newer record of the same process. */
+    /** Applies a newer record of the same process. A process that has begun to leave stays leaving, whatever
+       the record says: an older copy of the store may say otherwise. */
     void update(server_record record);
+    /** @returns since when this instance knows the process. */
+    [[nodiscard]] core::time_point known_since() const noexcept { return known_since_; }
     /** Applies a load report from an answer. */
     void observe(const load_report& report);
 
@@ -76,6 +79,7 @@
 
 private:
     const core::clock& time_;
+    core::time_point known_since_;
     server_record record_;
     core::region_id region_;
     std::uint64_t id_hash_;
--- a/source/steering/server_catalogue.cpp
+++ b/source/steering/server_catalogue.cpp
@@ -8,6 +8,13 @@
 
 /** Expired entries are registered again within about 2 s after the store has become reachable again. */
 constexpr core::milliseconds expiry_grace{2000};
+/** Servers and operators have written again what the store lost within this time after its return. */
+constexpr core::milliseconds settling_time{2000};
+/** The entry of a server that has ended is removed from the copy after this time: three intervals at which
+   servers write there, and some more. */
+constexpr core::milliseconds outdated_record_lifetime{6000};
+/** Copies of the store are younger than this when it comes back from one. */
+constexpr core::milliseconds max_copy_age{60000};
 /** Cold time of a service that is not in the configuration. */
 constexpr core::milliseconds default_cold_time{3000};
 
@@ -35,6 +42,8 @@
 void server_catalogue::put(server_record record)
 {
     missing_.erase(record.id);
+    unconfirmed_.erase(record.id);
+    outdated_records_.erase(record.id);
     const auto found = servers_.find(record.id);
     if (found != servers_.end()) {
         const auto& known = found->second->record();
@@ -50,6 +59,7 @@
     const auto id = record.id;
     const auto service = record.service;
     auto region = region_of(record.data_centre);
+    record.leaving = record.leaving || departed_.was_leaving(record);
     auto server = std::make_shared<backend_server>(std::move(record), std::move(region), time_);
     servers_.emplace(id, server);
     by_hash_[short_hash(*server)] = server;
@@ -66,24 +76,65 @@
     by_hash_.erase(short_hash(*found->second));
     servers_.erase(found);
     missing_.erase(id);
+    unconfirmed_.erase(id);
+}
+
+void server_catalogue::record_departure(const core::server_id& id)
+{
+    if (const auto server = find(id))
+        departed_.add(server->record());
+    drop(id);
 }
 
 void server_catalogue::remove(const core::server_id& id)
 {
+    outdated_records_.erase(id);
     if (!servers_.contains(id))
         return;
     if (store_recently_unreachable())
         missing_.try_emplace(id, time_.now());
     else
-        drop(id);
+        record_departure(id);
+}
+
+void server_catalogue::store_restored()
+{
+    restored_at_ = time_.now();
+    evacuations_.hold(settling_time);
+}
+
+bool server_catalogue::is_settling() const
+{
+    return restored_at_ && time_.now() - *restored_at_ < settling_time;
+}
+
+bool server_catalogue::is_outdated(const server_record& record) const
+{
+    const auto known = find(record.id);
+    if (!known)
+        return departed_.contains(record);
+    return record.started_unix_ms != 0 && record.started_unix_ms < known->record().started_unix_ms;
+}
+
+void server_catalogue::handle_unlisted(const core::server_id& id)
+{
+    const bool may_be_lost = is_settling() && time_.now() - find(id)->known_since() < max_copy_age;
+    if (may_be_lost)
+        unconfirmed_.insert(id);
+    else
+        remove(id);
 }
 
 void server_catalogue::replace_all(std::vector<server_record> records)
 {
     std::unordered_set<core::server_id> listed;
+    outdated_records_.clear();
     for (auto& record : records) {
         listed.insert(record.id);
-        put(std::move(record));
+        if (is_settling() && is_outdated(record))
+            outdated_records_.insert_or_assign(record.id, record);
+        else
+            put(std::move(record));
     }
     std::vector<core::server_id> gone;
     for (const auto& [id, server] : servers_) {
@@ -91,33 +142,32 @@
             gone.push_back(id);
     }
     for (const auto& id : gone)
-        remove(id);
+        handle_unlisted(id);
 }
 
 void server_catalogue::set_evacuated(const core::data_centre_id& data_centre, bool evacuated,
                                      const traffic_policy* policy)
 {
-    if (evacuated) {
-        evacuated_.insert(data_centre);
-        return;
-    }
-    if (evacuated_.erase(data_centre) == 0)
-        return;
-    // Servers without traffic become cold, and their entries may not show it yet.
-    for (const auto& [id, server] : servers_) {
-        if (server->record().data_centre == data_centre)
-            server->cold_start().assume_cold(cold_time_of(policy, server->record().service));
-    }
+    evacuations_.set(data_centre, evacuated);
+    apply_evacuations(policy);
 }
 
 void server_catalogue::replace_evacuated(const std::set<core::data_centre_id>& data_centres,
                                          const traffic_policy* policy)
 {
-    const auto before = evacuated_;
-    for (const auto& data_centre : before)
-        set_evacuated(data_centre, data_centres.contains(data_centre), policy);
-    for (const auto& data_centre : data_centres)
-        set_evacuated(data_centre, true, policy);
+    evacuations_.replace(data_centres);
+    apply_evacuations(policy);
+}
+
+void server_catalogue::apply_evacuations(const traffic_policy* policy)
+{
+    for (const auto& data_centre : evacuations_.apply()) {
+        // Servers without traffic become cold, and their entries may not show it yet.
+        for (const auto& [id, server] : servers_) {
+            if (server->record().data_centre == data_centre)
+                server->cold_start().assume_cold(cold_time_of(policy, server->record().service));
+        }
+    }
 }
 
 void server_catalogue::set_store_reachable(bool reachable)
@@ -138,17 +188,25 @@
         server->cold_start().assume_cold(duration);
 }
 
-void server_catalogue::tick()
+void server_catalogue::tick(const traffic_policy* policy)
 {
-    if (missing_.empty() || !store_reachable_)
-        return;
+    apply_evacuations(policy);
+    departed_.tick();
     std::vector<core::server_id> gone;
+    if (!is_settling())
+        gone.assign(unconfirmed_.begin(), unconfirmed_.end());
     for (const auto& [id, since] : missing_) {
-        if (time_.now() - std::max(since, store_returned_at_.value_or(since)) >= expiry_grace)
+        const auto waited = time_.now() - std::max(since, store_returned_at_.value_or(since));
+        if (store_reachable_ && waited >= expiry_grace)
             gone.push_back(id);
     }
     for (const auto& id : gone)
-        drop(id);
+        record_departure(id);
+    if (restored_at_ && time_.now() - *restored_at_ >= outdated_record_lifetime) {
+        // Their servers are there after all.
+        for (auto& [id, record] : std::exchange(outdated_records_, {}))
+            put(std::move(record));
+    }
 }
 
 std::vector<server_pointer> server_catalogue::usable(const core::service_id& service) const
@@ -166,7 +224,7 @@
     for (const auto& server : known) {
         const auto& record = server->record();
         const bool gone = missing > 0 && !expired_together && missing_.contains(record.id);
-        if (!gone && !record.leaving && !server->is_replaced() && !evacuated_.contains(record.data_centre))
+        if (!gone && !record.leaving && !server->is_replaced() && !is_evacuated(record.data_centre))
             result.push_back(server);
     }
     return result;
--- a/source/steering/server_catalogue.h
+++ b/source/steering/server_catalogue.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "steering/backend_server.h"
+#include "steering/departed_servers.h"
+#include "steering/evacuation_list.h"
 #include "steering/traffic_policy.h"
 
 #include <functional>
@@ -28,12 +29,16 @@
    gone: perhaps only this instance was cut off from the store, and the entries were removed because their
    servers left.
 
+    After the store has come back from an older copy of its rows, servers that had joined since are missing
+   until they have written their entries again, and those that had left are there again. For a time what was
+   known before goes before the list.
+
     Servers are shared with the requests that are in progress at them.
 */
 class server_catalogue {
 public:
     /** @param time must outlive this object. */
-    explicit server_catalogue(const core::clock& time) : time_(time) {}
+    explicit server_catalogue(const core::clock& time) : time_(time), evacuations_(time), departed_(time) {}
 
     void set_regions(std::map<core::data_centre_id, core::region_id> regions);
     [[nodiscard]] const std::map<core::data_centre_id, core::region_id>& regions() const { return regions_; }
@@ -53,16 +58,19 @@
     void replace_evacuated(const std::set<core::data_centre_id>& data_centres, const traffic_policy* policy);
     [[nodiscard]] bool is_evacuated(const core::data_centre_id& data_centre) const
     {
-        return evacuated_.contains(data_centre);
+        return evacuations_.contains(data_centre);
     }
 
+    /** Records that the store has come back from an older copy of its rows. A list of it follows. */
+    void store_restored();
     /** Records whether the store is reachable. */
     void set_store_reachable(bool reachable);
     /** Treats all servers as cold for a time: some may have restarted while this process was stalled. */
     void assume_all_cold(core::duration duration);
 
-    /** Removes servers whose entries were not registered again in time; call it at least every 100 ms. */
-    void tick();
+    /** Removes servers whose entries were not registered again in time; call it at least every 100 ms.
+        @param policy see `set_evacuated`. */
+    void tick(const traffic_policy* policy);
 
     /** @returns the servers of a service that may get requests; some may be suspended or cold. */
     [[nodiscard]] std::vector<server_pointer> usable(const core::service_id& service) const;
@@ -79,6 +87,16 @@
 private:
     /** Removes a server at once. */
     void drop(const core::server_id& id);
+    /** Removes a server whose entry was removed. */
+    void record_departure(const core::server_id& id);
+    void apply_evacuations(const traffic_policy* policy);
+    /** @returns whether what was known before the store came back may be newer than what a list of it says.
+     */
+    [[nodiscard]] bool is_settling() const;
+    /** @returns whether a record in a list is older than what is known of the server. */
+    [[nodiscard]] bool is_outdated(const server_record& record) const;
+    /** Keeps a server that a list lacks if its entry may have been lost, or removes it. */
+    void handle_unlisted(const core::server_id& id);
     [[nodiscard]] bool store_recently_unreachable() const;
     [[nodiscard]] core::region_id region_of(const core::data_centre_id& data_centre) const;
 
@@ -90,7 +108,13 @@
     /** Servers whose entries were removed while the store was unavailable or shortly afterwards, with the
        time of the removal. The entries may only have expired. */
     std::unordered_map<core::server_id, core::time_point> missing_;
-    std::set<core::data_centre_id> evacuated_;
+    evacuation_list evacuations_;
+    departed_servers departed_;
+    std::optional<core::time_point> restored_at_; ///< when the store came back from an older copy
+    /** Servers that joined shortly before and are missing in the copy. */
+    std::unordered_set<core::server_id> unconfirmed_;
+    /** Records of the copy that are older than what was known. */
+    std::unordered_map<core::server_id, server_record> outdated_records_;
     bool store_reachable_ = true;
     std::optional<core::time_point> store_returned_at_;
 };
--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -372,7 +372,7 @@
     store_role_.tick();
     fanout_.tick(store_role_.is_leaving());
     servers_.set_store_reachable(store_role_.store_reachable());
-    servers_.tick();
+    servers_.tick(policy());
     peer_loads_.tick();
     relay_.tick([this](const core::service_id& service) {
         const auto found = services_.find(service);
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -24,6 +24,13 @@
   "services":{"s1":{"healthPath":"/health","maxConns":360,"coldStartS":3.0,"coldPerS":9.7},"s2":{}},
   "limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
 
+std::string config_with_version(const std::string& version)
+{
+    auto document = nlohmann::json::parse(sample_config);
+    document["version"] = version;
+    return document.dump();
+}
+
 /** @returns a configuration with version 32 and many routes, about 1 MB. */
 std::string large_config()
 {
@@ -220,6 +227,53 @@
     }
 }
 
+// Guards against a configuration that never takes effect, and a registration that is lost, because what the
+// store acknowledged is gone and its versions are given out again.
+TEST_CASE("an instance follows a store that has come back from an older copy")
+{
+    store_watcher_fixture fixture;
+    REQUIRE(fixture.wait_for_usable(7));
+    const auto older = fixture.store.copy();
+    const auto policy_version = [&fixture](std::uint64_t version) {
+        return fixture.wait_for([version](auto& steerer) {
+            return steerer.policy() != nullptr && steerer.policy()->version == version;
+        });
+    };
+    fixture.store.put("op", "config", config_with_version("00000020"));
+    fixture.store.put("servers", "i-8", sample_entry());
+    REQUIRE(policy_version(0x20));
+    REQUIRE(fixture.wait_for_usable(8));
+    REQUIRE(fixture.wait_for([&](auto&) { return fixture.store.has("instances", "watcher"); }));
+    for (int i = 0; i < 5; ++i)
+        fixture.store.put("servers", "i-1", sample_entry());
+    const auto known = fixture.store.version();
+
+    SECTION("and has fewer rows than before")
+    {
+        fixture.store.restore(older);
+    }
+    SECTION("and has passed the versions of before")
+    {
+        fixture.store.restore(older);
+        fixture.store.put("op", "config", config_with_version("00000021"));
+        while (fixture.store.version() <= known)
+            fixture.store.put("other", "x", "");
+        REQUIRE(policy_version(0x21));
+    }
+    SECTION("twice")
+    {
+        fixture.store.restore(older);
+        fixture.store.put("op", "config", config_with_version("00000020"));
+        REQUIRE(fixture.wait_for([&](auto&) { return fixture.store.has("instances", "watcher"); }));
+        fixture.store.restore(older);
+    }
+    REQUIRE(fixture.wait_for([&](auto&) { return fixture.store.has("instances", "watcher"); }));
+    REQUIRE(fixture.wait_for_usable(8)); // i-8 has not registered again yet
+    fixture.store.put("op", "config", config_with_version("00000022"));
+    REQUIRE(policy_version(0x22));
+    REQUIRE(fixture.wait_for_usable(7)); // i-8 doesn't register again
+}
+
 // Guards against a list whose first pages come from rows that the store has lost.
 TEST_CASE("a list whose pages are of two eras, and a late answer of an earlier era, count as failed")
 {
--- a/tests/steering/server_catalogue_test.cpp
+++ b/tests/steering/server_catalogue_test.cpp
@@ -65,7 +65,7 @@
     fixture.servers.put(test::sample_server("s1"));
     REQUIRE(fixture.usable() == 3);
     fixture.time.advance(milliseconds(1600));
-    fixture.servers.tick();
+    fixture.servers.tick(nullptr);
     REQUIRE(fixture.usable() == 3);
     REQUIRE(fixture.servers.find(core::server_id{"s2"}) == nullptr);
 }
@@ -111,3 +111,105 @@
     fixture.servers.put(moved);
     REQUIRE(fixture.usable() == 4);
 }
+
+// Guards against servers that disappear, come back or change their process with an older copy of the store.
+TEST_CASE("what was known of servers goes before an older copy of the store until it has settled")
+{
+    catalogue_fixture fixture;
+    const auto record = [](const std::string& id, std::uint64_t started) {
+        auto result = test::sample_server(id);
+        result.started_unix_ms = started;
+        return result;
+    };
+    fixture.servers.put(record("joined", 7));
+    fixture.servers.put(record("restarted", 9));
+    fixture.servers.put(record("departed", 5));
+    fixture.servers.remove(core::server_id{"departed"});
+    auto leaving = test::sample_server("s3");
+    leaving.leaving = true;
+    fixture.servers.put(leaving);
+    REQUIRE(fixture.usable() == 5);
+
+    fixture.servers.store_restored();
+    const auto copy = [&] {
+        fixture.servers.replace_all({record("s0", 0), record("s1", 0), record("s2", 0), record("s3", 0),
+                                     record("restarted", 8), record("departed", 5)});
+    };
+    copy();
+    REQUIRE(fixture.usable() == 5);
+    REQUIRE(fixture.servers.find(core::server_id{"joined"}) != nullptr);
+    REQUIRE(fixture.servers.find(core::server_id{"departed"}) == nullptr);
+    REQUIRE(fixture.servers.find(core::server_id{"restarted"})->record().started_unix_ms == 9);
+
+    SECTION("a server that registers again stays, others are gone")
+    {
+        fixture.servers.put(record("restarted", 9));
+        fixture.time.advance(milliseconds(2100));
+        fixture.servers.tick(nullptr);
+        REQUIRE(fixture.servers.find(core::server_id{"joined"}) == nullptr);
+        REQUIRE(fixture.usable() == 4);
+        fixture.servers.remove(core::server_id{"departed"});
+        fixture.time.advance(milliseconds(6000));
+        fixture.servers.tick(nullptr);
+        REQUIRE(fixture.servers.find(core::server_id{"departed"}) == nullptr);
+    }
+    SECTION("an entry that stays in the copy belongs to a server that is there")
+    {
+        fixture.time.advance(milliseconds(6100));
+        fixture.servers.tick(nullptr);
+        REQUIRE(fixture.servers.find(core::server_id{"departed"}) != nullptr);
+    }
+    SECTION("a second copy begins another time to settle")
+    {
+        fixture.time.advance(milliseconds(1500));
+        fixture.servers.store_restored();
+        copy();
+        fixture.time.advance(milliseconds(1500));
+        fixture.servers.tick(nullptr);
+        REQUIRE(fixture.usable() == 5);
+    }
+    SECTION("a list that is read later is taken as it is")
+    {
+        fixture.time.advance(milliseconds(2100));
+        copy();
+        REQUIRE(fixture.servers.find(core::server_id{"joined"}) == nullptr);
+    }
+}
+
+// Guards against requests to a server that had begun to leave, because an older entry of it was read.
+TEST_CASE("a process that has begun to leave stays leaving until it starts again")
+{
+    catalogue_fixture fixture;
+    auto record = test::sample_server("s0");
+    record.leaving = true;
+    fixture.servers.put(record);
+    record.leaving = false;
+    fixture.servers.put(record);
+    REQUIRE(fixture.usable() == 3);
+    fixture.servers.remove(core::server_id{"s0"});
+    fixture.servers.put(record);
+    REQUIRE(fixture.usable() == 3);
+    record.started_unix_ms = 1;
+    fixture.servers.put(record);
+    REQUIRE(fixture.usable() == 4);
+}
+
+// Guards against requests to an evacuated data centre, and against one that is evacuated without need, after
+// the store has come back from an older copy.
+TEST_CASE("evacuations that were in force go before an older copy of the store until it has settled")
+{
+    catalogue_fixture fixture;
+    const core::data_centre_id near_a{"near-a"};
+    const core::data_centre_id near_b{"near-b"};
+    fixture.servers.set_evacuated(near_a, true, nullptr);
+    fixture.servers.store_restored();
+    fixture.servers.replace_evacuated({near_b}, nullptr);
+    REQUIRE(fixture.servers.is_evacuated(near_a));
+    REQUIRE_FALSE(fixture.servers.is_evacuated(near_b));
+    fixture.servers.set_evacuated(near_a, true, nullptr); // written again
+    fixture.servers.set_evacuated(near_b, false, nullptr);
+    fixture.time.advance(milliseconds(2100));
+    fixture.servers.tick(nullptr);
+    REQUIRE(fixture.servers.is_evacuated(near_a));
+    REQUIRE_FALSE(fixture.servers.is_evacuated(near_b));
+}
