Part the table of services and the log of servers' statements from larger classes

Change: service_table holds the states of services and plans their regions; server_log writes what servers state. No change of logic.

--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "gateway/quarantine_log.h"
+#include "gateway/server_log.h"
 #include "net/address.h"
 
 #include <algorithm>
@@ -107,16 +108,7 @@
 {
     steerer_.servers().set_regions(settings_.data_centres);
     steerer_.on_retry([this](core::retry_reason reason) { metrics_.count(reason); });
-    steerer_.limits().on_statement(
-        [this](const steering::backend_server& server, const steering::attempt_result& answer) {
-            json_line line("server_limit");
-            line.add("server", server.record().id.str()).add("service", server.record().service.str());
-            if (answer.malformed_limit)
-                line.add("malformed", true);
-            if (answer.request_limit)
-                line.add("requests_per_second", *answer.request_limit);
-            log_.info(std::move(line));
-        });
+    log_statements(steerer_, log_);
     log_quarantine(steerer_.quarantine(), log_);
     release_requests();
 }
--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -12,11 +12,6 @@
 /** Part of `largest_shift` that the limiter may use. The rest allows for random variation, which is large in
    windows of a few hundred requests. */
 constexpr double usable_shift_share = 0.6;
-constexpr core::milliseconds plan_interval{500};
-
-/** The run times that are assumed at first must end within the timeout of the route, even if its target is
- * late. */
-constexpr int min_targets_per_timeout = 2;
 
 /** A longer interval between two ticks means that the process stalled, for instance because it was paused. */
 constexpr core::milliseconds stall_threshold{1500};
@@ -58,7 +53,9 @@
       relay_(options_.location, options_.capacity, servers_, peers_, time, options_.seed),
       planner_(options_.location.region, servers_, peers_),
       retries_(options_.retry_ratio, options_.retry_extra, time), quarantine_(time),
-      limits_(options_.instance, options_.location.region, servers_, peers_, time), last_tick_(time.now())
+      limits_(options_.instance, options_.location.region, servers_, peers_, time),
+      services_({options_.largest_shift * usable_shift_share, options_.shift_window}, time),
+      last_tick_(time.now())
 {}
 
 bool steerer::apply(traffic_policy policy)
@@ -77,13 +74,7 @@
 
 service_state& steerer::state_of(const request_plan& plan)
 {
-    const auto found = services_.find(plan.service);
-    if (found != services_.end())
-        return found->second;
-    const state::shift_cap cap{options_.largest_shift * usable_shift_share, options_.shift_window};
-    const auto target =
-        std::min(plan.matched->target_latency, plan.matched->timeout / min_targets_per_timeout);
-    return services_.emplace(plan.service, service_state(cap, target, time_)).first->second;
+    return services_.state_of(plan.service, *plan.matched);
 }
 
 next_step steerer::begin(const request_facts& facts, request_plan& plan)
@@ -374,19 +365,8 @@
     servers_.set_store_reachable(store_role_.store_reachable());
     servers_.tick(policy());
     peer_loads_.tick();
-    relay_.tick([this](const core::service_id& service) {
-        const auto found = services_.find(service);
-        return found == services_.end() ? std::optional<core::duration>()
-                                        : found->second.unfamiliar_run_time();
-    });
-    const bool plan_due = now - last_plan_ >= plan_interval;
-    if (plan_due)
-        last_plan_ = now;
-    for (auto& [service, state] : services_) {
-        if (plan_due)
-            planner_.plan(service, state);
-        state.regions().tick();
-    }
+    relay_.tick([this](const core::service_id& service) { return services_.unfamiliar_run_time(service); });
+    services_.tick(planner_);
     return stalled ? gap : core::duration::zero();
 }
 
@@ -411,12 +391,4 @@
     return summary;
 }
 
-std::map<core::service_id, double> steerer::demand() const
-{
-    std::map<core::service_id, double> result;
-    for (const auto& [service, state] : services_)
-        result[service] = state.demand().per_second();
-    return result;
-}
-
 } // namespace knapweed::steering
--- a/source/steering/steerer.h
+++ b/source/steering/steerer.h
@@ -12,7 +12,7 @@
 #include "steering/route_table.h"
 #include "steering/server_catalogue.h"
 #include "steering/server_limits.h"
-#include "steering/service_state.h"
+#include "steering/service_table.h"
 #include "steering/share_selector.h"
 #include "steering/store_reader_role.h"
 
@@ -99,7 +99,7 @@
     core::duration tick();
 
     /** @returns the requests per second that arrive at this instance, by service. */
-    [[nodiscard]] std::map<core::service_id, double> demand() const;
+    [[nodiscard]] std::map<core::service_id, double> demand() const { return services_.demand(); }
     /** @returns the sums over this instance's region, as far as this instance knows them. */
     [[nodiscard]] region_summary region_sum() const;
 
@@ -132,11 +132,10 @@
     retry_allowance retries_;
     request_quarantine quarantine_;
     server_limits limits_;
-    std::unordered_map<core::service_id, service_state> services_;
+    service_table services_;
     answer_estimates answers_;
     retry_hook on_retry_;
     core::time_point last_tick_;
-    core::time_point last_plan_{};
 };
 
 } // namespace knapweed::steering
--- a/source/steering/steering.h
+++ b/source/steering/steering.h
@@ -39,6 +39,7 @@
 #include "steering/server_end_monitor.h"
 #include "steering/server_limits.h"
 #include "steering/service_state.h"
+#include "steering/service_table.h"
 #include "steering/share_selector.h"
 #include "steering/speed_estimate.h"
 #include "steering/steerer.h"
