--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -204,8 +204,10 @@
     const bool has_head = result.outcome != attempt_outcome::connection_lost &&
                           result.outcome != attempt_outcome::timed_out &&
                           result.outcome != attempt_outcome::not_connected;
-    if (has_head)
+    if (has_head) {
         upstream_.extract_load(result);
+        upstream_.extract_notice(result);
+    }
     if (result.outcome != attempt_outcome::answered && result.outcome != attempt_outcome::server_failed)
         upstream_.release();
     co_return result;
--- a/source/gateway/http_dialect.h
+++ b/source/gateway/http_dialect.h
@@ -22,6 +22,7 @@
     std::string load_field;                ///< header: load of the server, decoded by `parse_load`
     std::string request_limit_field;       ///< header: limit of the server, decoded by `parse_request_limit`
     std::string remaining_cold_time_field; ///< header: milliseconds for which the server stays cold
+    std::string leaving_field;             ///< header: whether the server leaves, decoded by `parse_leaving`
     /** Decodes the value of the load field; returns nothing when it is malformed. */
     std::function<std::optional<steering::load_report>(std::string_view)> parse_load;
 
@@ -29,6 +30,9 @@
         when the value is malformed. */
     std::function<std::optional<double>(std::string_view)> parse_request_limit;
 
+    /** Decodes whether the server has begun to leave. */
+    std::function<bool(std::string_view)> parse_leaving;
+
     std::string readiness_path; ///< requested by the platform to check whether the instance is ready
     std::string lookup_path;    ///< requested by callers to look up the addresses of instances
     /** Formats the body of the answer to a look-up; its arguments are the addresses for callers and their
--- a/source/gateway/server_log.cpp
+++ b/source/gateway/server_log.cpp
@@ -27,6 +27,8 @@
 {
     steerer.limits().on_statement(
         [&log](const auto& server, const auto& answer) { log_limit(log, server, answer); });
+    steerer.notices().on_leaving(
+        [&log](const auto& server) { log.info(make_line("server_leaving", server)); });
 }
 
 } // namespace knapweed::gateway
--- a/source/gateway/upstream_exchange.cpp
+++ b/source/gateway/upstream_exchange.cpp
@@ -141,6 +141,16 @@
         bytes_per_kilobyte;
 }
 
+void upstream_exchange::extract_notice(steering::attempt_result& result) const
+{
+    using steering::attempt_outcome;
+    const auto outcome = classify_answer(extract_answer_facts());
+    if (outcome == attempt_outcome::wrong_server || outcome == attempt_outcome::answer_invalid)
+        return;
+    result.leaving =
+        dialect_.parse_leaving && dialect_.parse_leaving(connection_->field(dialect_.leaving_field));
+}
+
 void upstream_exchange::release()
 {
     if (!connection_)
--- a/source/gateway/upstream_exchange.h
+++ b/source/gateway/upstream_exchange.h
@@ -42,6 +42,9 @@
     [[nodiscard]] answer_facts extract_answer_facts() const;
     /** Adds the load that the answer states, and the size of the answer, to a result. */
     void extract_load(steering::attempt_result& result) const;
+    /** Adds what the answer states of the server's plans to a result, unless the answer may be another
+        server's. */
+    void extract_notice(steering::attempt_result& result) const;
     /** @returns the connection, whose head and body can be read. */
     [[nodiscard]] net::client_connection& connection() { return *connection_; }
     [[nodiscard]] const std::string& buffered_body() const noexcept { return buffered_body_; }
--- a/source/steering/request_plan.h
+++ b/source/steering/request_plan.h
@@ -36,6 +36,7 @@
     std::optional<core::milliseconds> remaining_cold_time; ///< from the server's answer
     std::optional<double> request_limit; ///< requests per second that the server's answer names
     bool malformed_limit = false;        ///< the answer names a limit that can't be read
+    bool leaving = false;                ///< the server's answer states that it has begun to leave
     core::duration taken{};              ///< from the start of the attempt to its result
     double answer_kilobytes = 0;
 };
--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -218,6 +218,7 @@
     if (result.load)
         server.observe(*result.load);
     limits_.record_answer(server, result);
+    notices_.record_answer(server, result);
     if (result.remaining_cold_time)
         server.cold_start().set_remaining_cold_time(*result.remaining_cold_time);
     if (plan.attempts.empty())
--- a/source/steering/steerer.h
+++ b/source/steering/steerer.h
@@ -12,6 +12,7 @@
 #include "steering/route_table.h"
 #include "steering/server_catalogue.h"
 #include "steering/server_limits.h"
+#include "steering/server_notices.h"
 #include "steering/service_table.h"
 #include "steering/share_selector.h"
 #include "steering/store_reader_role.h"
@@ -74,6 +75,7 @@
     [[nodiscard]] link_monitor& links() noexcept { return relay_.links(); }
     [[nodiscard]] request_quarantine& quarantine() noexcept { return quarantine_; }
     [[nodiscard]] server_limits& limits() noexcept { return limits_; }
+    [[nodiscard]] server_notices& notices() noexcept { return notices_; }
 
     /** Starts a request. @param plan is filled in; pass it to each `attempt_ended` of the request. */
     [[nodiscard]] next_step begin(const request_facts& facts, request_plan& plan);
@@ -132,6 +134,7 @@
     retry_allowance retries_;
     request_quarantine quarantine_;
     server_limits limits_;
+    server_notices notices_;
     service_table services_;
     answer_estimates answers_;
     retry_hook on_retry_;
--- a/source/steering/steering.h
+++ b/source/steering/steering.h
@@ -38,6 +38,7 @@
 #include "steering/server_choice.h"
 #include "steering/server_end_monitor.h"
 #include "steering/server_limits.h"
+#include "steering/server_notices.h"
 #include "steering/service_state.h"
 #include "steering/service_table.h"
 #include "steering/share_selector.h"
