--- a/tests/platform/cut/cut_place.h
+++ b/tests/platform/cut/cut_place.h
@@ -39,6 +39,11 @@
     void heal();
     /** Lets the link to a server that has ended refuse connections. */
     void server_ended(std::size_t number);
+    /** Writes the row of a server, as ready. */
+    void write_entry(std::size_t number, const server_stand_in& server)
+    {
+        write_server(server, *links_.at(number), number % number_of_places);
+    }
     /** Opens the link to a server that has started again, and replaces its row.
         @param old_id of its process before. */
     void server_started(std::size_t number, const server_stand_in& server, const std::string& old_id);
--- a/tests/platform/cut/place_fleet.cpp
+++ b/tests/platform/cut/place_fleet.cpp
@@ -152,6 +152,18 @@
         place->server_ended(number);
 }
 
+void place_fleet::write_entry(std::size_t number)
+{
+    for (const auto& place : places_)
+        place->write_entry(number, *servers_[number]);
+}
+
+void place_fleet::remove_entry(std::size_t number)
+{
+    for (const auto& place : places_)
+        place->store().remove("servers", servers_[number]->id());
+}
+
 void place_fleet::restart_server(std::size_t number)
 {
     const auto old_id = servers_[number]->id();
--- a/tests/platform/cut/place_fleet.h
+++ b/tests/platform/cut/place_fleet.h
@@ -47,6 +47,9 @@
 
     /** Lets all links to a server that has ended refuse connections. */
     void server_ended(std::size_t number);
+    /** Writes the entry of a server in the store again, as ready, or removes it. */
+    void write_entry(std::size_t number);
+    void remove_entry(std::size_t number);
     /** Starts a new process of a server. */
     void restart_server(std::size_t number);
 
--- /dev/null
+++ b/tests/platform/leave/leave_run.cpp
@@ -0,0 +1,242 @@
+#include "leave_run.h"
+
+#include <algorithm>
+
+namespace knapweed::soak {
+
+namespace asio = net::asio;
+
+namespace {
+
+/** The instances are ready and know each other after this time. */
+constexpr core::milliseconds warm_up{2500};
+constexpr core::milliseconds load_before{1000};
+constexpr core::milliseconds trouble_start{1500};
+constexpr core::milliseconds trouble_length{2000};
+/** Times from the first answers that state it. */
+constexpr core::milliseconds entry_removed{1000};
+constexpr core::milliseconds entry_written{3500};
+constexpr core::milliseconds time_to_start_again{9000};
+constexpr core::milliseconds load_after{4000};
+constexpr core::milliseconds longest_request{3000};
+/** A gateway that has such an answer sends the server nothing that callers send later than this. */
+constexpr core::milliseconds drain_limit{2500};
+/** A new process is used like the others after this time. */
+constexpr core::milliseconds time_to_use{1500};
+constexpr double least_use = 0.4; ///< part of what the others get on average
+/** Requests for a service without servers are refused within this time of their arrival. */
+constexpr core::milliseconds refusal_limit{500};
+constexpr double least_share_refused_in_time = 0.98;
+constexpr std::size_t regions = 2;
+const std::string abandoned_service = "moved"; ///< all its servers leave
+
+fleet_options make_fleet_options(const leave_options& options)
+{
+    const auto kind = static_cast<std::uint64_t>(options.kind);
+    return {options.program,
+            options.directory,
+            options.previous_program,
+            "leave-" + std::string(core::name_of(options.kind)) + "-" + std::to_string(options.seed),
+            options.seed * core::number_of_values<leave_kind> + kind,
+            regions};
+}
+
+} // namespace
+
+leave_run::leave_run(const leave_options& options) : kind_(options.kind), fleet_(make_fleet_options(options))
+{}
+
+leave_result leave_run::run()
+{
+    choose_servers();
+    result_.history = fleet_.history_file();
+    result_.broken = fleet_.run(kind_ == leave_kind::late, [this] { return play(); });
+    for (const auto& leaving : leaving_)
+        check_leaving(leaving);
+    check_use_of_new_processes();
+    check_refusals();
+    result_.summary = std::to_string(leaving_.size()) + " servers left, gateways were told " +
+                      std::to_string(told_) + " times" + result_.summary;
+    return result_;
+}
+
+/** Chooses all servers of one service, and one or two of each other service. */
+void leave_run::choose_servers()
+{
+    auto& random = fleet_.random();
+    std::map<std::string, std::size_t> chosen;
+    for (std::size_t number = 0; number < fleet_.servers().size(); ++number) {
+        const auto& server = *fleet_.servers()[number];
+        const bool is_abandoned = server.service() == abandoned_service;
+        if (!is_abandoned && (chosen[server.service()] == 2 || random.below(3) == 0))
+            continue;
+        ++chosen[server.service()];
+        leaving_server leaving{number, server.id()};
+        leaving.way = static_cast<leave_way>(leaving_.size() % core::number_of_values<leave_way>);
+        leaving.starts_again = !is_abandoned && random.below(2) == 0;
+        leaving_.push_back(std::move(leaving));
+    }
+}
+
+void leave_run::begin_to_leave()
+{
+    began_at_ = fleet_.history().elapsed();
+    for (const auto& leaving : leaving_) {
+        auto& server = *fleet_.servers()[leaving.number];
+        server.set_leaving(leaving.way == leave_way::wavers ? 0.5 : 1);
+        if (leaving.way == leave_way::rejects)
+            server.set_fault(server_fault::sheds);
+        fleet_.history().add("leaving", {{"server", leaving.id}, {"way", core::name_of(leaving.way)}});
+        if (leaving.way == leave_way::loses_entry)
+            fleet_.schedule(entry_removed, [this, &leaving] { fleet_.remove_entry(leaving.number); });
+        if (leaving.way == leave_way::loses_entry || leaving.way == leave_way::rewrites_entry)
+            fleet_.schedule(entry_written, [this, &leaving] { fleet_.write_entry(leaving.number); });
+    }
+}
+
+void leave_run::start_again()
+{
+    started_again_at_ = fleet_.history().elapsed();
+    for (const auto& leaving : leaving_) {
+        if (leaving.starts_again)
+            fleet_.restart_server(leaving.number);
+    }
+}
+
+/** Schedules what the kind of the run does to one gateway, from the first statements on. */
+void leave_run::trouble_one_gateway()
+{
+    switch (kind_) {
+    case leave_kind::steady:
+        break;
+    case leave_kind::cut:
+        fleet_.cut_off_servers(trouble_start, trouble_length);
+        break;
+    case leave_kind::restart:
+        fleet_.kill_and_restart(trouble_start);
+        break;
+    case leave_kind::freeze:
+        fleet_.suspend(trouble_start, trouble_length);
+        break;
+    case leave_kind::late:
+        fleet_.start_late(trouble_start);
+        break;
+    }
+}
+
+/** @param told when the gateway had an answer that the server leaves.
+    @returns whether the request left its own gateway, and this one has run since it was told. */
+bool leave_run::is_judged(const request_record& record, core::milliseconds told) const
+{
+    if (fleet_.concerns_previous_program(record))
+        return false;
+    if (record.gateway != fleet_.troubled_gateway())
+        return true;
+    const auto begin = began_at_ + trouble_start;
+    const auto end = begin + trouble_length;
+    if (kind_ == leave_kind::cut)
+        return record.sent < begin || record.sent > end;
+    return kind_ != leave_kind::freeze || record.sent < begin || told > end;
+}
+
+void leave_run::check_leaving(const leaving_server& leaving)
+{
+    std::map<std::pair<std::string, int>, core::milliseconds> told; // by gateway and incarnation
+    for (const auto& [id, record] : fleet_.records()) {
+        if (record.result != caller_result::answered)
+            continue;
+        for (const auto& arrival : record.arrivals) {
+            if (arrival.server != leaving.id || !arrival.stated_leaving)
+                continue;
+            const auto when = arrival.ran ? record.ended : arrival.at;
+            const auto [known, added] = told.try_emplace({record.gateway, record.incarnation}, when);
+            known->second = std::min(known->second, when);
+        }
+    }
+    told_ += told.size();
+    std::size_t late = 0;
+    for (const auto& [id, record] : fleet_.records()) {
+        const auto known = told.find({record.gateway, record.incarnation});
+        if (known == told.end() || record.sent <= known->second + drain_limit ||
+            !is_judged(record, known->second))
+            continue;
+        late += static_cast<std::size_t>(
+            std::count_if(record.arrivals.begin(), record.arrivals.end(),
+                          [&leaving](const auto& arrival) { return arrival.server == leaving.id; }));
+    }
+    if (late > 0)
+        result_.broken.push_back("DRAIN: " + std::to_string(late) + " requests reached " + leaving.id + " (" +
+                                 std::string(core::name_of(leaving.way)) +
+                                 ") from gateways to which it had answered that it leaves");
+}
+
+/** New processes of servers that have left must get requests like the others. */
+void leave_run::check_use_of_new_processes()
+{
+    std::map<std::string, std::size_t> requests; // by server
+    for (const auto& [id, record] : fleet_.records()) {
+        for (const auto& arrival : record.arrivals) {
+            if (arrival.at >= started_again_at_ + time_to_use)
+                ++requests[arrival.server];
+        }
+    }
+    double got = 0;
+    double expected = 0;
+    for (const auto& leaving : leaving_) {
+        if (!leaving.starts_again)
+            continue;
+        const auto& server = *fleet_.servers()[leaving.number];
+        double others = 0;
+        double of_others = 0;
+        for (std::size_t number = 0; number < fleet_.servers().size(); ++number) {
+            const auto& other = *fleet_.servers()[number];
+            const bool has_left =
+                std::any_of(leaving_.begin(), leaving_.end(),
+                            [number](const auto& candidate) { return candidate.number == number; });
+            if (has_left || other.service() != server.service())
+                continue;
+            ++others;
+            of_others += static_cast<double>(requests[other.id()]);
+        }
+        got += static_cast<double>(requests[server.id()]);
+        expected += of_others / others;
+    }
+    result_.summary = "; new processes got " + std::to_string(static_cast<int>(got)) +
+                      " requests, as many others " + std::to_string(static_cast<int>(expected));
+    if (got < least_use * expected)
+        result_.broken.push_back("new processes are hardly used" + result_.summary);
+}
+
+/** Requests for a service whose servers have all left are refused at once. */
+void leave_run::check_refusals()
+{
+    std::size_t refused = 0;
+    std::size_t in_time = 0;
+    for (const auto& [id, record] : fleet_.records()) {
+        if (record.route != "/" + abandoned_service + "/" || record.result != caller_result::answered ||
+            record.status != 503)
+            continue;
+        ++refused;
+        if (record.ended - record.sent <= refusal_limit)
+            ++in_time;
+    }
+    result_.summary += "; " + std::to_string(refused) + " refused";
+    if (static_cast<double>(in_time) < least_share_refused_in_time * static_cast<double>(refused))
+        result_.broken.push_back("refusals came late" + result_.summary);
+}
+
+asio::awaitable<void> leave_run::play()
+{
+    co_await fleet_.sleep(warm_up);
+    fleet_.start_callers();
+    co_await fleet_.sleep(load_before);
+    begin_to_leave();
+    trouble_one_gateway();
+    co_await fleet_.sleep(time_to_start_again);
+    start_again();
+    co_await fleet_.sleep(load_after);
+    fleet_.stop_callers();
+    co_await fleet_.sleep(longest_request);
+}
+
+} // namespace knapweed::soak
--- a/tests/platform/soak/request_records.h
+++ b/tests/platform/soak/request_records.h
@@ -14,7 +14,8 @@
     std::string server;
     std::string service;
     core::milliseconds at{0};
-    bool ran = false; ///< the server began to run it
+    bool ran = false;            ///< the server began to run it
+    bool stated_leaving = false; ///< its answer stated that the server leaves
 };
 
 /** How a request ended for its caller. */
--- a/tests/platform/soak/server_stand_in.cpp
+++ b/tests/platform/soak/server_stand_in.cpp
@@ -52,6 +52,7 @@
     id_ = base_id_ + "-" + std::to_string(++starts_);
     fault_ = server_fault::none;
     limit_.reset();
+    leaving_share_ = 0;
     acceptor_ = std::make_unique<net::tcp::acceptor>(executor_, address_);
     address_ = acceptor_->local_endpoint();
     asio::co_spawn(executor_, accept(), asio::detached);
@@ -87,7 +88,7 @@
     }
 }
 
-server_stand_in::response server_stand_in::make_answer(unsigned status, const std::string& request_id) const
+server_stand_in::response server_stand_in::make_answer(unsigned status, const std::string& request_id)
 {
     response answer(static_cast<http::status>(status), 11);
     answer.set("Request-Id", request_id);
@@ -95,6 +96,11 @@
                std::to_string(running_) + "," + std::to_string(waiting_) + "," + std::to_string(slots));
     if (limit_)
         answer.set("Server-Limit", std::to_string(*limit_));
+    if (leaving_share_ > 0 && random_.fraction() < leaving_share_) {
+        answer.set("Server-Leaving", "1");
+        if (auto& arrivals = records_[request_id].arrivals; !arrivals.empty())
+            arrivals.back().stated_leaving = arrivals.back().server == id_;
+    }
     return answer;
 }
 
--- a/tests/platform/soak/server_stand_in.h
+++ b/tests/platform/soak/server_stand_in.h
@@ -29,6 +29,8 @@
     void set_fault(server_fault fault) { fault_ = fault; }
     /** Names a limit in all answers, in requests per second, or none any more. */
     void set_limit(std::optional<double> requests_per_second) { limit_ = requests_per_second; }
+    /** States in a share of the answers, from 0 to 1, that the server leaves. */
+    void set_leaving(double share) { leaving_share_ = share; }
     /** Sets a function that is called when a request has ended the server. */
     void on_end(std::function<void()> hook) { on_end_ = std::move(hook); }
     /** Ends the process of the server: nobody listens, all connections are reset. */
@@ -48,7 +50,7 @@
     net::asio::awaitable<bool> write(net::tcp::socket& socket, response answer);
     net::asio::awaitable<bool> write_text(net::tcp::socket& socket, const std::string& text);
     net::asio::awaitable<void> write_endless(net::tcp::socket& socket);
-    [[nodiscard]] response make_answer(unsigned status, const std::string& request_id) const;
+    [[nodiscard]] response make_answer(unsigned status, const std::string& request_id);
 
     net::asio::any_io_executor executor_;
     std::string base_id_;
@@ -62,6 +64,7 @@
     std::list<std::weak_ptr<net::tcp::socket>> connections_;
     server_fault fault_ = server_fault::none;
     std::optional<double> limit_;
+    double leaving_share_ = 0;
     std::function<void()> on_end_;
     unsigned running_ = 0;
     unsigned waiting_ = 0;
