Send nothing to a server that has said in an answer that it leaves

Class: a field of the protocol that is passed on and not heeded, met a second time. Change: a process whose answer states it counts as leaving, in choice, homes, the plan of regions and relays alike, until it starts again; an answer without the field, an entry that says ready, and one that is removed and written again don't take it back. Instances tell each other what they heard from servers, for 5 s, and each one that starts. Left: using such a server as a last resort until its drain time ends, since a refusal at once lets the caller come back. Messages: leaving_reports is new (field 6 of the oneof); builds before read it as a message without content.

--- a/source/gateway/peer_messenger.cpp
+++ b/source/gateway/peer_messenger.cpp
@@ -42,6 +42,12 @@
     send_reports(steerer_.limits().reports(fanout.is_hub()), fanout.status_receivers());
 }
 
+void peer_messenger::send_leaving_reports()
+{
+    const auto& fanout = steerer_.fanout();
+    send_reports(steerer_.notices().reports(fanout.is_hub()), fanout.status_receivers());
+}
+
 void peer_messenger::receive(const peer_message& message)
 {
     if (const auto* status = std::get_if<steering::instance_status>(&message))
@@ -54,16 +60,19 @@
         steerer_.quarantine().receive(*reports, steerer_.fanout().is_hub());
     else if (const auto* limits = std::get_if<std::vector<steering::limit_report>>(&message))
         steerer_.limits().receive(*limits, steerer_.fanout().is_hub());
+    else if (const auto* leaving = std::get_if<std::vector<steering::leaving_report>>(&message))
+        steerer_.notices().receive(*leaving, steerer_.fanout().is_hub());
 }
 
-/** An instance that has just started learns at once what this one knows of requests that end servers and of
-    limits. */
+/** An instance that has just started learns at once what this one knows of requests that end servers, of
+    limits and of servers that leave. */
 void peer_messenger::receive_status(const steering::instance_status& status)
 {
     if (!steerer_.peers().update(status))
         return;
     send_reports(steerer_.quarantine().reports(), {status.peer_address});
     send_reports(steerer_.limits().reports(true), {status.peer_address});
+    send_reports(steerer_.notices().all_reports(), {status.peer_address});
 }
 
 /** A sum over this instance's region includes its own requests, which are known better here. */
--- a/source/gateway/peer_messenger.h
+++ b/source/gateway/peer_messenger.h
@@ -42,6 +42,8 @@
     void send_crash_reports();
     /** Sends what is known of limits that servers name, if anything, to the same instances. */
     void send_limit_reports();
+    /** Sends which servers are known to leave, if any, to the same instances. */
+    void send_leaving_reports();
     /** Sends a change of the store to the instances of the region, and a status message with the version of
         the change to all instances. A change that does not fit into a datagram is not sent: the other
         instances read it from the store. */
--- a/source/gateway/status_codec.cpp
+++ b/source/gateway/status_codec.cpp
@@ -152,6 +152,14 @@
     return reports;
 }
 
+std::vector<steering::leaving_report> from_message(const wire::leaving_reports& message)
+{
+    std::vector<steering::leaving_report> reports;
+    for (int i = 0; i < std::min(message.server_size(), message.process_size()); ++i)
+        reports.push_back({message.server(i), message.process(i)});
+    return reports;
+}
+
 } // namespace
 
 std::string encode_status(const steering::instance_status& status)
@@ -244,6 +252,17 @@
     return datagram.SerializeAsString();
 }
 
+std::string encode_datagram(const std::vector<steering::leaving_report>& reports)
+{
+    wire::peer_datagram datagram;
+    auto* message = datagram.mutable_leaving();
+    for (const auto& report : reports) {
+        message->add_server(report.server);
+        message->add_process(report.process);
+    }
+    return datagram.SerializeAsString();
+}
+
 peer_message decode_datagram(std::string_view datagram)
 {
     wire::peer_datagram parsed;
@@ -259,6 +278,8 @@
         return from_message(parsed.crashes());
     if (parsed.has_limits())
         return from_message(parsed.limits());
+    if (parsed.has_leaving())
+        return from_message(parsed.leaving());
     return {};
 }
 
--- a/source/gateway/status_codec.h
+++ b/source/gateway/status_codec.h
@@ -4,6 +4,7 @@
 #include "steering/peer_loads.h"
 #include "steering/peer_table.h"
 #include "steering/server_limits.h"
+#include "steering/server_notices.h"
 #include "steering/table_change.h"
 
 #include <optional>
@@ -23,7 +24,8 @@
 /** Decoded content of a datagram from another instance; `std::monostate` when it is invalid. */
 using peer_message =
     std::variant<std::monostate, steering::instance_status, steering::instance_load, steering::table_change,
-                 std::vector<steering::crash_report>, std::vector<steering::limit_report>>;
+                 std::vector<steering::crash_report>, std::vector<steering::limit_report>,
+                 std::vector<steering::leaving_report>>;
 
 /** @returns a serialised datagram with one message. */
 [[nodiscard]] std::string encode_datagram(const steering::instance_status& status);
@@ -31,6 +33,7 @@
 [[nodiscard]] std::string encode_datagram(const steering::table_change& change);
 [[nodiscard]] std::string encode_datagram(const std::vector<steering::crash_report>& reports);
 [[nodiscard]] std::string encode_datagram(const std::vector<steering::limit_report>& reports);
+[[nodiscard]] std::string encode_datagram(const std::vector<steering::leaving_report>& reports);
 
 /** @returns the message of a datagram, `std::monostate` when it is malformed, lacks the instance or belongs
    to an unknown table. */
--- a/source/steering/backend_server.h
+++ b/source/steering/backend_server.h
@@ -45,6 +45,8 @@
     /** Applies a newer record of the same process. A process that has begun to leave stays leaving, whatever
        the record says: an older copy of the store may say otherwise. */
     void update(server_record record);
+    /** Records that the process has begun to leave. */
+    void mark_leaving() noexcept { record_.leaving = true; }
     /** @returns since when this instance knows the process. */
     [[nodiscard]] core::time_point known_since() const noexcept { return known_since_; }
     /** Applies a load report from an answer. */
--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -53,7 +53,7 @@
       relay_(options_.location, options_.capacity, servers_, peers_, time, options_.seed),
       planner_(options_.location.region, servers_, peers_),
       retries_(options_.retry_ratio, options_.retry_extra, time), quarantine_(time),
-      limits_(options_.instance, options_.location.region, servers_, peers_, time),
+      limits_(options_.instance, options_.location.region, servers_, peers_, time), notices_(servers_, time),
       services_({options_.largest_shift * usable_shift_share, options_.shift_window}, time),
       last_tick_(time.now())
 {}
--- a/tests/gateway/parts_test.cpp
+++ b/tests/gateway/parts_test.cpp
@@ -166,6 +166,14 @@
     REQUIRE_FALSE(read_limits.back().per_second);
     const std::vector<steering::limit_report> most_limits(250, {~0U, ~0U, 1e9, core::milliseconds(3600000)});
     REQUIRE(encode_datagram(most_limits).size() <= peer_link::max_datagram_bytes);
+    const std::vector<steering::leaving_report> leaving{{5, 6}, {~0U, 8}};
+    const auto read_leaving =
+        std::get<std::vector<steering::leaving_report>>(decode_datagram(encode_datagram(leaving)));
+    REQUIRE(read_leaving.size() == 2);
+    REQUIRE(read_leaving.back().server == ~0U);
+    REQUIRE(read_leaving.back().process == 8);
+    const std::vector<steering::leaving_report> most_leaving(500, {~0U, ~0U});
+    REQUIRE(encode_datagram(most_leaving).size() <= peer_link::max_datagram_bytes);
     REQUIRE(std::holds_alternative<std::monostate>(decode_datagram("nonsense")));
     REQUIRE(std::holds_alternative<std::monostate>(decode_datagram("")));
     REQUIRE_FALSE(decode_status("nonsense"));
