Read how long a server wants rest from its rejections, and log it

Change: Retry-After of a server's 503 is parsed: seconds with or without a fraction, at most an hour; a date, a negative number and any other text count as unreadable. server_rest is logged for each. Nothing is decided by it.

--- a/source/gateway/message_heads.cpp
+++ b/source/gateway/message_heads.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 
 namespace knapweed::gateway {
@@ -55,6 +56,20 @@
     head += "\r\n";
 }
 
+std::optional<double> parse_number_of_seconds(std::string_view text)
+{
+    double seconds = 0;
+    const auto* const end = text.data() + text.size();
+    const auto [parse_end, error] = std::from_chars(text.data(), end, seconds);
+    const bool valid = error == std::errc{} && parse_end == end && std::isfinite(seconds) && seconds >= 0;
+    return valid ? std::optional(seconds) : std::nullopt;
+}
+
+core::duration to_duration(double seconds)
+{
+    return std::chrono::duration_cast<core::duration>(std::chrono::duration<double>(seconds));
+}
+
 } // namespace
 
 void append_field(std::string& out, std::string_view name, std::string_view value)
@@ -123,13 +138,15 @@
 
 core::duration parse_seconds(std::string_view text)
 {
-    double seconds = 0;
-    const auto* const end = text.data() + text.size();
-    const auto [parse_end, error] = std::from_chars(text.data(), end, seconds);
-    const bool valid = error == std::errc{} && parse_end == end && seconds >= 0;
-    if (!valid || seconds > max_parsed_seconds)
-        return core::duration::zero();
-    return std::chrono::duration_cast<core::duration>(std::chrono::duration<double>(seconds));
+    const auto seconds = parse_number_of_seconds(text);
+    return !seconds || *seconds > max_parsed_seconds ? core::duration::zero() : to_duration(*seconds);
+}
+
+std::optional<core::duration> parse_rest(std::string_view text)
+{
+    const auto seconds = parse_number_of_seconds(text);
+    return seconds ? std::optional(to_duration(std::min<double>(*seconds, max_parsed_seconds)))
+                   : std::nullopt;
 }
 
 core::duration usable_idle_time(std::string_view keep_alive)
--- a/source/gateway/message_heads.h
+++ b/source/gateway/message_heads.h
@@ -40,6 +40,10 @@
     for a negative number or one above an hour. */
 [[nodiscard]] core::duration parse_seconds(std::string_view text);
 
+/** @returns the time that a number of seconds, with or without a fraction, states, at most an hour; nothing
+    for any other text, a date and a negative number among them. */
+[[nodiscard]] std::optional<core::duration> parse_rest(std::string_view text);
+
 /** @returns how long an idle connection may be kept for reuse, from the `timeout` parameter of the server's
     Keep-Alive field; a default when it is absent. */
 [[nodiscard]] core::duration usable_idle_time(std::string_view keep_alive);
--- a/source/gateway/server_log.cpp
+++ b/source/gateway/server_log.cpp
@@ -21,6 +21,16 @@
     log.info(std::move(line));
 }
 
+void log_rest(event_log& log, const steering::backend_server& server, const steering::attempt_result& answer)
+{
+    auto line = make_line("server_rest", server);
+    if (answer.malformed_rest)
+        line.add("malformed", true);
+    if (answer.rest)
+        line.add_ms("rest_ms", *answer.rest);
+    log.info(std::move(line));
+}
+
 } // namespace
 
 void log_statements(steering::steerer& steerer, event_log& log)
@@ -29,6 +39,8 @@
         [&log](const auto& server, const auto& answer) { log_limit(log, server, answer); });
     steerer.notices().on_leaving(
         [&log](const auto& server) { log.info(make_line("server_leaving", server)); });
+    steerer.notices().on_rest(
+        [&log](const auto& server, const auto& answer) { log_rest(log, server, answer); });
 }
 
 } // namespace knapweed::gateway
--- a/source/gateway/upstream_exchange.cpp
+++ b/source/gateway/upstream_exchange.cpp
@@ -147,6 +147,12 @@
     const auto outcome = classify_answer(extract_answer_facts());
     if (outcome == attempt_outcome::wrong_server || outcome == attempt_outcome::answer_invalid)
         return;
+    constexpr unsigned unavailable = 503;
+    if (const auto rest = connection_->field("retry-after");
+        connection_->status() == unavailable && !rest.empty()) {
+        result.rest = parse_rest(rest);
+        result.malformed_rest = !result.rest;
+    }
     result.leaving =
         dialect_.parse_leaving && dialect_.parse_leaving(connection_->field(dialect_.leaving_field));
 }
--- a/source/steering/request_plan.h
+++ b/source/steering/request_plan.h
@@ -37,6 +37,8 @@
     std::optional<double> request_limit; ///< requests per second that the server's answer names
     bool malformed_limit = false;        ///< the answer names a limit that can't be read
     bool leaving = false;                ///< the server's answer states that it has begun to leave
+    std::optional<core::duration> rest;  ///< for which a rejecting server wants no request of this instance
+    bool malformed_rest = false;         ///< the rejection states a time that can't be read
     core::duration taken{};              ///< from the start of the attempt to its result
     double answer_kilobytes = 0;
 };
--- a/source/steering/server_notices.cpp
+++ b/source/steering/server_notices.cpp
@@ -36,6 +36,8 @@
 {
     if (result.leaving && mark_leaving(server, true))
         has_news_ = true;
+    if (on_rest_ && (result.rest || result.malformed_rest))
+        on_rest_(server, result);
 }
 
 void server_notices::receive(const std::vector<leaving_report>& reports, bool forwards)
--- a/source/steering/server_notices.h
+++ b/source/steering/server_notices.h
@@ -22,6 +22,7 @@
 class server_notices {
 public:
     using notice_hook = std::function<void(const backend_server&)>;
+    using rest_hook = std::function<void(const backend_server&, const attempt_result&)>;
 
     /** @param servers and @p time must outlive this object. */
     server_notices(const server_catalogue& servers, const core::clock& time) : servers_(servers), time_(time)
@@ -32,6 +33,10 @@
     /** Calls @p hook whenever a server's process is heard to leave that was not known to. */
     void on_leaving(notice_hook hook) { on_leaving_ = std::move(hook); }
 
+    /** Calls @p hook whenever a rejection states how long its server wants no requests of this instance, or
+        states something that can't be read. */
+    void on_rest(rest_hook hook) { on_rest_ = std::move(hook); }
+
     /** Applies the reports of another instance. @param forwards others wait for this instance to pass on what
      * is new in them. */
     void receive(const std::vector<leaving_report>& reports, bool forwards);
@@ -59,6 +64,7 @@
     const core::clock& time_;
     std::map<std::uint32_t, statement> leaving_; ///< by `process_hash`
     notice_hook on_leaving_;
+    rest_hook on_rest_;
     bool has_news_ = false;
 };
 
--- a/tests/gateway/parts_test.cpp
+++ b/tests/gateway/parts_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway/gateway.h"
+#include "gateway/message_heads.h"
 #include "gateway/status_codec.h"
 
 #include <catch2/catch.hpp>
@@ -179,6 +180,18 @@
     REQUIRE_FALSE(decode_status("nonsense"));
 }
 
+// Guards against a server that is barred for ever, or not at all, by what it states.
+TEST_CASE("a rest is a number of seconds of at most an hour")
+{
+    CHECK(parse_rest("3") == core::milliseconds(3000));
+    CHECK(parse_rest("0.25") == core::milliseconds(250));
+    CHECK(parse_rest("0") == core::milliseconds(0));
+    CHECK(parse_rest("1e9") == std::chrono::hours(1));
+    for (const auto* text :
+         {"", "-1", "nan", "inf", "1e999", "3s", " 3", "soon", "Fri, 31 Dec 2027 23:59:59 GMT"})
+        CHECK_FALSE(parse_rest(text));
+}
+
 // Guards against log lines that can't be parsed, and against injection through values that callers send.
 TEST_CASE("a log line is a single JSON object for any values")
 {
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -97,6 +97,14 @@
         CHECK_FALSE(parse_request_limit(text));
 }
 
+// Guards against a server that is taken for leaving because of a damaged field.
+TEST_CASE("only the value 1 states that a server leaves")
+{
+    CHECK(parse_leaving("1"));
+    for (const auto* text : {"", "0", "11", "true", "1 1"})
+        CHECK_FALSE(parse_leaving(text));
+}
+
 // Guards against malformed entries, written by other programs, that add a server or stop the instance.
 TEST_CASE("an entry with missing or wrong fields is rejected")
 {
