--- /dev/null
+++ b/tests/platform/rest/main.cpp
@@ -0,0 +1,26 @@
+#include "rest_run.h"
+#include "seeded_main.h"
+
+namespace {
+
+constexpr const char* usage =
+    R"(usage: knapweed_rest --program FILE --kind steady|cut|restart|freeze|late [--directory DIR] [--seed S] [--count N]
+                     [--previous FILE]
+Runs real gateways under load, while servers turn requests away and state how long they want none.
+  -p, --program FILE    path of knapweed-gateway
+  -k, --kind KIND       steady: all gateways run; cut, restart, freeze, late: one of them loses its paths to the
+                        servers, is killed and started again, is suspended, or starts late
+  -d, --directory DIR   for histories, settings and logs; the current one by default
+  -s, --seed S          seed of the first run, 1 by default
+  -n, --count N         runs with consecutive seeds, 1 by default
+  -o, --previous FILE   an earlier build of knapweed-gateway, which every second gateway runs until it is restarted
+Exit status: 0 when all promises were kept, 1 otherwise, 2 for bad arguments.
+)";
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    using namespace knapweed::soak;
+    return seeded_main<rest_run, rest_options>(argc, argv, usage);
+}
--- a/tests/platform/soak/request_records.h
+++ b/tests/platform/soak/request_records.h
@@ -15,6 +15,7 @@
     std::string service;
     core::milliseconds at{0};
     bool ran = false;            ///< the server began to run it
+    bool asked_for_rest = false; ///< it was turned away with a time of rest
     bool stated_leaving = false; ///< its answer stated that the server leaves
 };
 
--- a/tests/platform/soak/server_stand_in.cpp
+++ b/tests/platform/soak/server_stand_in.cpp
@@ -53,6 +53,7 @@
     fault_ = server_fault::none;
     limit_.reset();
     leaving_share_ = 0;
+    rest_.reset();
     acceptor_ = std::make_unique<net::tcp::acceptor>(executor_, address_);
     address_ = acceptor_->local_endpoint();
     asio::co_spawn(executor_, accept(), asio::detached);
@@ -130,11 +131,14 @@
         server_arrival arrival{id_, service_, history_.elapsed(), false};
         const bool wrong_server = call["Target-Instance"] != id_;
         const bool full = running_ >= slots && waiting_ >= queue;
-        if (wrong_server || full || fault_ == server_fault::sheds) {
+        if (wrong_server || full || rest_ || fault_ == server_fault::sheds) {
+            arrival.asked_for_rest = rest_.has_value();
             if (!wrong_server)
                 records_[request_id].arrivals.push_back(arrival);
             auto answer = make_answer(wrong_server ? 421 : 503, request_id);
             answer.set("Not-Executed", "1");
+            if (rest_ && !wrong_server)
+                answer.set("Retry-After", *rest_);
             if (!co_await write(*socket, std::move(answer)))
                 co_return;
             continue;
--- a/tests/platform/soak/server_stand_in.h
+++ b/tests/platform/soak/server_stand_in.h
@@ -31,6 +31,8 @@
     void set_limit(std::optional<double> requests_per_second) { limit_ = requests_per_second; }
     /** States in a share of the answers, from 0 to 1, that the server leaves. */
     void set_leaving(double share) { leaving_share_ = share; }
+    /** Turns all requests away and states a time of rest, or serves again. @param text of the field. */
+    void set_rest(std::optional<std::string> text) { rest_ = std::move(text); }
     /** Sets a function that is called when a request has ended the server. */
     void on_end(std::function<void()> hook) { on_end_ = std::move(hook); }
     /** Ends the process of the server: nobody listens, all connections are reset. */
@@ -65,6 +67,7 @@
     server_fault fault_ = server_fault::none;
     std::optional<double> limit_;
     double leaving_share_ = 0;
+    std::optional<std::string> rest_;
     std::function<void()> on_end_;
     unsigned running_ = 0;
     unsigned waiting_ = 0;
