Send nothing to a server for the time of rest that it states

Cause: callers' requests went to servers that turn everything away and had said for how long: nothing read it, and the tries followed the suspension of failing servers. Class: a field of the protocol that is passed on and not heeded, as with LIMIT and DRAIN. Change: a server has a rest period, kept by the instance that was asked alone. While it lasts, and up to 15 % longer at random, the server is not chosen for any attempt, its capacity is left out of the plan of regions, and it doesn't count as failing. After it one request goes there as a trial; others follow when the trial has ended without a new rest. A longer rest extends a shorter one, never the other way round; it outlives the removal of the server's entry, not a new start. If all servers rest, callers are refused at once with the time to come back. Left: telling other instances, since each of them is asked for itself.

--- a/source/steering/backend_server.cpp
+++ b/source/steering/backend_server.cpp
@@ -7,7 +7,7 @@
 backend_server::backend_server(server_record record, core::region_id region, const core::clock& time)
     : time_(time), known_since_(time.now()), record_(std::move(record)), region_(std::move(region)),
       id_hash_(core::hash_text(record_.id.str())), slots_(std::max(record_.slots, 1U)), occupancy_(time),
-      failures_(time), cold_start_(time), limit_(time), speed_(time)
+      failures_(time), cold_start_(time), limit_(time), rest_(time), speed_(time)
 {
     cold_start_.set_remaining_cold_time(record_.remaining_cold_time);
 }
@@ -30,6 +30,7 @@
         unanswered_since_ = time_.now();
     occupancy_.request_started();
     cold_start_.request_started();
+    rest_.request_sent();
 }
 
 void backend_server::record_answer()
--- a/source/steering/backend_server.h
+++ b/source/steering/backend_server.h
@@ -5,6 +5,7 @@
 #include "steering/named_limit.h"
 #include "steering/occupancy_estimate.h"
 #include "steering/recent_objects.h"
+#include "steering/rest_period.h"
 #include "steering/speed_estimate.h"
 
 namespace knapweed::steering {
@@ -60,6 +61,8 @@
     [[nodiscard]] const cold_start_limiter& cold_start() const noexcept { return cold_start_; }
     [[nodiscard]] named_limit& limit() noexcept { return limit_; }
     [[nodiscard]] const named_limit& limit() const noexcept { return limit_; }
+    [[nodiscard]] rest_period& rest() noexcept { return rest_; }
+    [[nodiscard]] const rest_period& rest() const noexcept { return rest_; }
     [[nodiscard]] speed_estimate& speed() noexcept { return speed_; }
     [[nodiscard]] const speed_estimate& speed() const noexcept { return speed_; }
 
@@ -91,6 +94,7 @@
     failure_tracker failures_;
     cold_start_limiter cold_start_;
     named_limit limit_;
+    rest_period rest_;
     speed_estimate speed_;
     core::time_point unanswered_since_{}; ///< latest answer, or first request after a pause
     recent_objects objects_;
--- a/source/steering/departed_servers.cpp
+++ b/source/steering/departed_servers.cpp
@@ -9,9 +9,10 @@
 
 } // namespace
 
-void departed_servers::add(const server_record& record)
+void departed_servers::add(const backend_server& server)
 {
-    departures_[record.id] = {record.started_unix_ms, record.leaving, time_.now()};
+    const auto& record = server.record();
+    departures_[record.id] = {record.started_unix_ms, record.leaving, server.rest().end(), time_.now()};
 }
 
 bool departed_servers::contains(const server_record& record) const
@@ -20,11 +21,15 @@
     return found != departures_.end() && record.started_unix_ms <= found->second.started_unix_ms;
 }
 
-bool departed_servers::was_leaving(const server_record& record) const
+void departed_servers::restore(backend_server& server) const
 {
-    const auto found = departures_.find(record.id);
-    return found != departures_.end() && found->second.leaving &&
-           record.started_unix_ms == found->second.started_unix_ms;
+    const auto found = departures_.find(server.record().id);
+    if (found == departures_.end() || found->second.started_unix_ms != server.record().started_unix_ms)
+        return;
+    if (found->second.leaving)
+        server.mark_leaving();
+    if (found->second.rest_end)
+        server.rest().extend_to(*found->second.rest_end);
 }
 
 void departed_servers::tick()
--- a/source/steering/region_planner.cpp
+++ b/source/steering/region_planner.cpp
@@ -39,6 +39,8 @@
         supplies[region].region = region;
     double capacity = 0;
     for (const auto& server : servers_.usable(service)) {
+        if (server->rest().remaining() > core::duration::zero())
+            continue;
         const auto& region = server->region();
         const double run_seconds = std::chrono::duration<double>(state.run_time_in(region)).count();
         const double available_share = (server->cold_start().is_cold() ? cold_capacity_share : 1) *
--- a/source/steering/server_catalogue.cpp
+++ b/source/steering/server_catalogue.cpp
@@ -59,8 +59,8 @@
     const auto id = record.id;
     const auto service = record.service;
     auto region = region_of(record.data_centre);
-    record.leaving = record.leaving || departed_.was_leaving(record);
     auto server = std::make_shared<backend_server>(std::move(record), std::move(region), time_);
+    departed_.restore(*server);
     servers_.emplace(id, server);
     by_hash_[short_hash(*server)] = server;
     by_service_[service].push_back(std::move(server));
@@ -82,7 +82,7 @@
 void server_catalogue::record_departure(const core::server_id& id)
 {
     if (const auto server = find(id))
-        departed_.add(server->record());
+        departed_.add(*server);
     drop(id);
 }
 
--- a/source/steering/server_choice.cpp
+++ b/source/steering/server_choice.cpp
@@ -147,6 +147,16 @@
     return candidate.expected_time <= milliseconds_d(request.time_left) * usable_time_left;
 }
 
+/** @returns the time until a server takes a request of this instance: its rest has ended, and it is within
+   the limit that it names. */
+core::duration wait_to_send(const choice_request& request, const backend_server& server)
+{
+    const auto rest = server.rest().wait();
+    if (!request.limit_wait || !server.limit().per_second())
+        return rest;
+    return std::max(rest, request.limit_wait(server));
+}
+
 } // namespace
 
 std::variant<server_choice, no_choice> choose_server(const choice_request& request,
@@ -156,7 +166,7 @@
 {
     std::vector<server_pointer> eligible;
     eligible.reserve(candidates.size());
-    std::optional<core::duration> limited_wait; // until the first server with a limit may get the request
+    std::optional<core::duration> shortest_wait; // until the first server that takes none now takes one
     for (const auto& server : candidates) {
         if (server->failures().is_suspended() || !server->cold_start().may_start(request.cold_spacing))
             continue;
@@ -164,21 +174,18 @@
             continue;
         if (std::find(excluded.begin(), excluded.end(), server) != excluded.end())
             continue;
-        if (request.limit_wait && server->limit().per_second()) {
-            const auto wait = request.limit_wait(*server);
-            if (wait > core::duration::zero()) {
-                limited_wait = std::min(limited_wait.value_or(wait), wait);
-                continue;
-            }
+        if (const auto wait = wait_to_send(request, *server); wait > core::duration::zero()) {
+            shortest_wait = std::min(shortest_wait.value_or(wait), wait);
+            continue;
         }
         eligible.push_back(server);
     }
     if (eligible.empty())
-        return limited_wait ? no_choice{core::refusal_reason::no_free_slot, *limited_wait} : no_choice{};
+        return shortest_wait ? no_choice{core::refusal_reason::no_free_slot, *shortest_wait} : no_choice{};
     const auto* const home = find_home_server(request.object_hash, eligible);
     std::optional<scored_server> best;
     no_choice refusal{core::refusal_reason::deadline_unmeetable,
-                      limited_wait.value_or(core::duration::max())};
+                      shortest_wait.value_or(core::duration::max())};
     for (const auto& server : eligible) {
         const auto candidate = score(request, server, server.get() == home, distances);
         const bool in_time = ends_in_time(request, candidate);
--- a/source/steering/server_notices.cpp
+++ b/source/steering/server_notices.cpp
@@ -8,6 +8,8 @@
 
 /** Limit of the reports in a message, of which each takes 8 bytes. */
 constexpr std::size_t max_reports = 500;
+/** Part by which a rest may be extended at random, so that not all instances come back at once. */
+constexpr double longest_extension = 0.15;
 /** Time for which others are told; a message may be lost. */
 constexpr core::milliseconds reported_for{5000};
 
@@ -36,6 +38,18 @@
 {
     if (result.leaving && mark_leaving(server, true))
         has_news_ = true;
+    record_rest(server, result);
+}
+
+void server_notices::record_rest(backend_server& server, const attempt_result& result)
+{
+    if (result.rest) {
+        const auto rest = *result.rest * (1 + longest_extension * random_.fraction());
+        server.rest().extend_to(time_.now() + std::chrono::duration_cast<core::duration>(rest));
+    }
+    else {
+        server.rest().request_ended();
+    }
     if (on_rest_ && (result.rest || result.malformed_rest))
         on_rest_(server, result);
 }
--- a/source/steering/server_notices.h
+++ b/source/steering/server_notices.h
@@ -11,11 +11,12 @@
     std::uint32_t process = 0; ///< `process_hash` of its record
 };
 
-/** What servers state of their plans in their answers: that they have begun to leave.
+/** What servers state of their plans in their answers: that they have begun to leave, or that they want no
+    requests of this instance for a time.
 
-    The statement holds for the process that made it: an answer without it, or an entry in the store, doesn't
-    take it back. Instances tell each other, so that one that seldom sends to a server, or has just started,
-    doesn't have to hear it from the server.
+    That it leaves holds for the process that states it: an answer without it, or an entry in the store,
+   doesn't take it back. Instances tell each other, so that one that seldom sends to a server, or has just
+   started, doesn't have to hear it from the server. A rest is kept by the instance that was asked alone.
 
     Owned by the steerer.
 */
@@ -25,7 +26,8 @@
     using rest_hook = std::function<void(const backend_server&, const attempt_result&)>;
 
     /** @param servers and @p time must outlive this object. */
-    server_notices(const server_catalogue& servers, const core::clock& time) : servers_(servers), time_(time)
+    server_notices(const server_catalogue& servers, const core::clock& time, std::uint64_t seed)
+        : servers_(servers), time_(time), random_(seed)
     {}
 
     /** Records what the answer to an attempt states. */
@@ -56,12 +58,14 @@
         core::time_point heard_at;
     };
 
+    void record_rest(backend_server& server, const attempt_result& result);
     /** @returns whether this is news. */
     bool mark_leaving(backend_server& server, bool first_hand);
     [[nodiscard]] bool is_registered(std::uint32_t server, std::uint32_t process) const;
 
     const server_catalogue& servers_;
     const core::clock& time_;
+    core::random_source random_;
     std::map<std::uint32_t, statement> leaving_; ///< by `process_hash`
     notice_hook on_leaving_;
     rest_hook on_rest_;
--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -53,7 +53,8 @@
       relay_(options_.location, options_.capacity, servers_, peers_, time, options_.seed),
       planner_(options_.location.region, servers_, peers_),
       retries_(options_.retry_ratio, options_.retry_extra, time), quarantine_(time),
-      limits_(options_.instance, options_.location.region, servers_, peers_, time), notices_(servers_, time),
+      limits_(options_.instance, options_.location.region, servers_, peers_, time),
+      notices_(servers_, time, options_.seed),
       services_({options_.largest_shift * usable_shift_share, options_.shift_window}, time),
       last_tick_(time.now())
 {}
@@ -263,7 +264,8 @@
             server.cold_start().assume_cold(service->cold_time); // it may be restarting
         return retry(plan, core::retry_reason::not_sent, true);
     case attempt_outcome::not_run:
-        if (!server.limit().per_second() && (!result.load || result.load->running < server.slots()))
+        if (!result.rest && !server.limit().per_second() &&
+            (!result.load || result.load->running < server.slots()))
             server.failures().record_failure(); // it refused although it had a free slot
         return retry(plan, core::retry_reason::server_shed);
     case attempt_outcome::wrong_server:
--- a/source/steering/steering.h
+++ b/source/steering/steering.h
@@ -31,6 +31,7 @@
 #include "steering/request_plan.h"
 #include "steering/request_quarantine.h"
 #include "steering/request_relay.h"
+#include "steering/rest_period.h"
 #include "steering/retry_allowance.h"
 #include "steering/retry_time.h"
 #include "steering/route_table.h"
