--- a/source/gateway/status_codec.h
+++ b/source/gateway/status_codec.h
@@ -22,10 +22,9 @@
 [[nodiscard]] std::optional<steering::instance_status> decode_status(std::string_view message);
 
 /** Decoded content of a datagram from another instance; `std::monostate` when it is invalid. */
-using peer_message =
-    std::variant<std::monostate, steering::instance_status, steering::instance_load, steering::table_change,
-                 std::vector<steering::crash_report>, std::vector<steering::limit_report>,
-                 std::vector<steering::leaving_report>>;
+using peer_message = std::variant<std::monostate, steering::instance_status, steering::instance_load,
+                                  steering::table_change, std::vector<steering::crash_report>,
+                                  std::vector<steering::limit_report>, std::vector<steering::leaving_report>>;
 
 /** @returns a serialised datagram with one message. */
 [[nodiscard]] std::string encode_datagram(const steering::instance_status& status);
