Hear an instance again whose clock was set back before it started

Change: a message of an earlier incarnation is heeded when the later one has been silent for the time after which an instance doesn't count as live. Left: random incarnations, which give late messages no order, and a change of the message. Measured: steering_tests: the new test failed before (update refused at 2.7 s of silence), 117 cases pass after.

--- a/source/steering/peer_table.cpp
+++ b/source/steering/peer_table.cpp
@@ -20,10 +20,11 @@
     if (status.instance == own_ || status.instance.empty())
         return false;
     auto& entry = peers_[status.instance];
-    const bool older =
-        status.incarnation < entry.status.incarnation ||
-        (status.incarnation == entry.status.incarnation && status.sequence < entry.status.sequence);
-    if (older)
+    // Incarnations come from the time of day, which may be set back between two starts.
+    const bool from_earlier_process = status.incarnation < entry.status.incarnation && !is_silent(entry);
+    const bool out_of_order =
+        status.incarnation == entry.status.incarnation && status.sequence < entry.status.sequence;
+    if (from_earlier_process || out_of_order)
         return false;
     entry.status = status;
     entry.received_at = time_.now();
@@ -45,6 +46,11 @@
     return candidate.received_at && time_.now() - *candidate.received_at < max_age;
 }
 
+bool peer_table::is_silent(const peer& candidate) const
+{
+    return time_.now() - candidate.received_at.value_or(candidate.registered_at) >= live_timeout;
+}
+
 void peer_table::visit(const std::function<void(const instance_status&, bool live)>& visitor) const
 {
     for (const auto& [instance, known_peer] : peers_)
@@ -93,8 +99,8 @@
 {
     for (const auto& [instance, known_peer] : peers_) {
         const auto& status = known_peer.status;
-        const bool is_silent = !is_full_mesh() && status.location.region != own_region_;
-        if (is_live(known_peer) || (is_silent && !status.leaving))
+        const bool sends_nothing_here = !is_full_mesh() && status.location.region != own_region_;
+        if (is_live(known_peer) || (sends_nothing_here && !status.leaving))
             visitor(status);
     }
 }
--- a/source/steering/peer_table.h
+++ b/source/steering/peer_table.h
@@ -51,7 +51,8 @@
         : own_(std::move(own)), own_region_(std::move(own_region)), time_(time)
     {}
 
-    /** Stores the status from a message. An older status than the stored one is ignored.
+    /** Stores the status from a message. A status older than the stored one is ignored, and one of an earlier
+       incarnation as long as the later one isn't silent.
         @returns whether this is the first message from this incarnation of the instance. */
     bool update(const instance_status& status);
     /** Stores the status from an entry of the instance registry, which does not show that the instance is
@@ -94,6 +95,7 @@
     };
 
     [[nodiscard]] bool is_live(const peer& candidate, core::duration max_age = live_timeout) const;
+    [[nodiscard]] bool is_silent(const peer& candidate) const;
 
     core::instance_id own_;
     core::region_id own_region_;
--- a/tests/steering/estimates_test.cpp
+++ b/tests/steering/estimates_test.cpp
@@ -194,6 +194,39 @@
     REQUIRE_FALSE(objects.contains(3));
 }
 
+// Guards against an instance that stays ignored because its clock was set back before it started again.
+TEST_CASE("an instance that starts with an earlier time of day is live again once the one before is silent")
+{
+    core::simulated_clock time;
+    peer_table peers(core::instance_id{"i1"}, test::near_region, time);
+    instance_status status;
+    status.instance = core::instance_id{"i2"};
+    status.location = test::sample_location();
+    status.incarnation = {9000};
+    status.sequence = 40;
+    REQUIRE(peers.update(status));
+    const auto live_incarnation = [&peers] {
+        std::uint64_t live = 0;
+        peers.visit_live(peer_table::live_timeout,
+                         [&live](const instance_status& peer) { live = peer.incarnation.value; });
+        return live;
+    };
+    status.incarnation = {4000};
+    status.sequence = 1;
+    time.advance(core::milliseconds(500));
+    REQUIRE_FALSE(peers.update(status)); // may be a late message of an earlier process
+    REQUIRE(live_incarnation() == 9000);
+    time.advance(peer_table::live_timeout);
+    peers.add_registered(status);
+    REQUIRE(peers.update(status));
+    REQUIRE(live_incarnation() == 4000);
+    status.sequence = 2;
+    REQUIRE_FALSE(peers.update(status));
+    status.incarnation = {9000};
+    status.sequence = 41;
+    REQUIRE(peers.update(status)); // the clock was set ahead again
+}
+
 // Guards against look-ups that send callers to an instance that is gone or shutting down.
 TEST_CASE("look-ups name live, ready instances of the data centre only")
 {
