Draw a store that comes back older, and servers that leave or rest, in the soak

Change: each run has two servers that state in their answers that they leave; a run with faults also has two that want rest and two returns of the store from a copy of up to 6 s. The check of what gateways send to such servers is a class that the soak, the leave test and the rest test share; it counts an answer as passed on only if the caller got it, or the server had turned the request away. Excused are gateways that were suspended, and servers whose link was in trouble, up to 3 s before. The rest test now checks each pair of gateway and server, not only the first gateway of a server.

--- a/tests/platform/leave/leave_run.cpp
+++ b/tests/platform/leave/leave_run.cpp
@@ -1,5 +1,7 @@
 #include "leave_run.h"
 
+#include "statement_checker.h"
+
 #include <algorithm>
 
 namespace knapweed::soak {
@@ -19,8 +21,6 @@
 constexpr core::milliseconds time_to_start_again{9000};
 constexpr core::milliseconds load_after{4000};
 constexpr core::milliseconds longest_request{3000};
-/** A gateway that has such an answer sends the server nothing that callers send later than this. */
-constexpr core::milliseconds drain_limit{2500};
 /** A new process is used like the others after this time. */
 constexpr core::milliseconds time_to_use{1500};
 constexpr double least_use = 0.4; ///< part of what the others get on average
@@ -47,12 +47,15 @@
     choose_servers();
     result_.history = fleet_.history_file();
     result_.broken = fleet_.run(kind_ == leave_kind::late, [this] { return play(); });
-    for (const auto& leaving : leaving_)
-        check_leaving(leaving);
+    const statement_checker checker(fleet_.records(), [this](const auto& record, const auto&, auto told) {
+        return is_judged(record, told);
+    });
+    const auto late = checker.check_leaving();
+    result_.broken.insert(result_.broken.end(), late.begin(), late.end());
     check_use_of_new_processes();
     check_refusals();
     result_.summary = std::to_string(leaving_.size()) + " servers left, gateways were told " +
-                      std::to_string(told_) + " times" + result_.summary;
+                      std::to_string(checker.number_told()) + " times" + result_.summary;
     return result_;
 }
 
@@ -135,37 +138,6 @@
     return kind_ != leave_kind::freeze || record.sent < begin || told > end;
 }
 
-void leave_run::check_leaving(const leaving_server& leaving)
-{
-    std::map<std::pair<std::string, int>, core::milliseconds> told; // by gateway and incarnation
-    for (const auto& [id, record] : fleet_.records()) {
-        if (record.result != caller_result::answered)
-            continue;
-        for (const auto& arrival : record.arrivals) {
-            if (arrival.server != leaving.id || !arrival.stated_leaving)
-                continue;
-            const auto when = arrival.ran ? record.ended : arrival.at;
-            const auto [known, added] = told.try_emplace({record.gateway, record.incarnation}, when);
-            known->second = std::min(known->second, when);
-        }
-    }
-    told_ += told.size();
-    std::size_t late = 0;
-    for (const auto& [id, record] : fleet_.records()) {
-        const auto known = told.find({record.gateway, record.incarnation});
-        if (known == told.end() || record.sent <= known->second + drain_limit ||
-            !is_judged(record, known->second))
-            continue;
-        late += static_cast<std::size_t>(
-            std::count_if(record.arrivals.begin(), record.arrivals.end(),
-                          [&leaving](const auto& arrival) { return arrival.server == leaving.id; }));
-    }
-    if (late > 0)
-        result_.broken.push_back("DRAIN: " + std::to_string(late) + " requests reached " + leaving.id + " (" +
-                                 std::string(core::name_of(leaving.way)) +
-                                 ") from gateways to which it had answered that it leaves");
-}
-
 /** New processes of servers that have left must get requests like the others. */
 void leave_run::check_use_of_new_processes()
 {
--- a/tests/platform/leave/leave_run.h
+++ b/tests/platform/leave/leave_run.h
@@ -57,7 +57,6 @@
     void trouble_one_gateway();
     void begin_to_leave();
     void start_again();
-    void check_leaving(const leaving_server& leaving);
     void check_use_of_new_processes();
     void check_refusals();
     [[nodiscard]] bool is_judged(const request_record& record, core::milliseconds told) const;
@@ -69,7 +68,6 @@
     std::vector<leaving_server> leaving_;
     core::milliseconds began_at_{0};
     core::milliseconds started_again_at_{0};
-    std::size_t told_ = 0; ///< number of gateways and servers
 };
 
 } // namespace knapweed::soak
--- a/tests/platform/rest/rest_run.cpp
+++ b/tests/platform/rest/rest_run.cpp
@@ -1,5 +1,7 @@
 #include "rest_run.h"
 
+#include "statement_checker.h"
+
 #include <algorithm>
 
 namespace knapweed::soak {
@@ -16,28 +18,21 @@
 constexpr core::milliseconds time_turned_away{6000};
 constexpr core::milliseconds load_after{7000};
 constexpr core::milliseconds longest_request{3000};
-/** A gateway that was turned away sends at most this many requests from here on until the rest has ended. */
-constexpr core::milliseconds rest_begins{500};
-constexpr std::size_t allowed_requests = 2;
 /** Servers are used like the others this long after their rest. */
 constexpr core::milliseconds time_to_use{4500};
 constexpr double least_use = 0.4; ///< part of what the others get on average
 /** A longer rest than the run. */
 constexpr core::milliseconds endless{3600000};
 
-struct stated_rest {
-    const char* text;
-    core::milliseconds rest;
-};
-constexpr std::array<stated_rest, 9> stated_rests{{{"3", core::milliseconds(3000)},
-                                                   {"1.5", core::milliseconds(1500)},
-                                                   {"-2", core::milliseconds(0)},
-                                                   {"0.75", core::milliseconds(750)},
-                                                   {"1e9", endless},
-                                                   {"soon", core::milliseconds(0)},
-                                                   {"2.25", core::milliseconds(2250)},
-                                                   {"Fri, 31 Dec 2027 23:59:59 GMT", core::milliseconds(0)},
-                                                   {"0", core::milliseconds(0)}}};
+const std::array<stated_rest, 9> stated_rests{{{"3", core::milliseconds(3000)},
+                                               {"1.5", core::milliseconds(1500)},
+                                               {"-2", core::milliseconds(0)},
+                                               {"0.75", core::milliseconds(750)},
+                                               {"1e9", endless},
+                                               {"soon", core::milliseconds(0)},
+                                               {"2.25", core::milliseconds(2250)},
+                                               {"Fri, 31 Dec 2027 23:59:59 GMT", core::milliseconds(0)},
+                                               {"0", core::milliseconds(0)}}};
 
 fleet_options make_fleet_options(const rest_options& options)
 {
@@ -56,12 +51,14 @@
     choose_servers();
     result_.history = fleet_.history_file();
     result_.broken = fleet_.run(kind_ == rest_kind::late, [this] { return play(); });
-    for (const auto& resting : resting_)
-        check_rest(resting);
+    const statement_checker checker(
+        fleet_.records(), [this](const auto& record, const auto&, auto) { return is_judged(record); });
+    const auto unheeded = checker.check_rests();
+    result_.broken.insert(result_.broken.end(), unheeded.begin(), unheeded.end());
     check_use_afterwards();
-    result_.summary = std::to_string(resting_.size()) + " servers turned " + std::to_string(asked_) +
-                      " requests away, at most " + std::to_string(greatest_) + " in a time of rest" +
-                      result_.summary;
+    result_.summary = std::to_string(resting_.size()) + " servers turned " +
+                      std::to_string(checker.number_turned_away()) + " requests away, at most " +
+                      std::to_string(checker.most_during_rest()) + " in a time of rest" + result_.summary;
     return result_;
 }
 
@@ -77,15 +74,15 @@
             continue;
         ++chosen[server.service()];
         const auto& stated = stated_rests.at((first_rest + resting_.size()) % stated_rests.size());
-        resting_.push_back({number, server.id(), stated.text, stated.rest});
+        resting_.push_back({number, server.id(), stated});
     }
 }
 
 void rest_run::begin_to_rest()
 {
     for (const auto& resting : resting_) {
-        fleet_.servers()[resting.number]->set_rest(resting.text);
-        fleet_.history().add("rests", {{"server", resting.id}, {"text", resting.text}});
+        fleet_.servers()[resting.number]->set_rest(resting.stated);
+        fleet_.history().add("rests", {{"server", resting.id}, {"text", resting.stated.text}});
     }
 }
 
@@ -124,38 +121,6 @@
     return !is_excused && !fleet_.concerns_previous_program(record);
 }
 
-void rest_run::check_rest(const resting_server& resting)
-{
-    std::map<std::pair<std::string, int>, std::vector<arrival_of_gateway>> arrivals; // and incarnation
-    for (const auto& [id, record] : fleet_.records()) {
-        for (const auto& arrival : record.arrivals) {
-            if (arrival.server != resting.id)
-                continue;
-            asked_ += arrival.asked_for_rest ? 1 : 0;
-            if (is_judged(record))
-                arrivals[{record.gateway, record.incarnation}].push_back(
-                    {arrival.at, arrival.asked_for_rest});
-        }
-    }
-    for (const auto& [sender, sent] : arrivals) {
-        for (const auto& asked : sent) {
-            if (!asked.asked_for_rest)
-                continue;
-            const auto number =
-                static_cast<std::size_t>(std::count_if(sent.begin(), sent.end(), [&](const auto& other) {
-                    return other.at > asked.at + rest_begins && other.at < asked.at + resting.rest;
-                }));
-            greatest_ = std::max(greatest_, number);
-            if (number <= allowed_requests)
-                continue;
-            result_.broken.push_back("BUDGET: " + resting.id + " asked " + sender.first + " for " +
-                                     resting.text + " s of rest at " + std::to_string(asked.at.count()) +
-                                     " ms, and got " + std::to_string(number) + " requests");
-            return;
-        }
-    }
-}
-
 /** Servers that serve again must get requests like the others, unless their rest goes on. */
 void rest_run::check_use_afterwards()
 {
@@ -169,7 +134,7 @@
     double got = 0;
     double expected = 0;
     for (const auto& resting : resting_) {
-        if (resting.rest == endless)
+        if (resting.stated.rest == endless)
             continue;
         double others = 0;
         double of_others = 0;
--- a/tests/platform/rest/rest_run.h
+++ b/tests/platform/rest/rest_run.h
@@ -41,19 +41,13 @@
     struct resting_server {
         std::size_t number = 0;
         std::string id; ///< of its process
-        std::string text;
-        core::milliseconds rest{0}; ///< that the text states, 0 if none
-    };
-    struct arrival_of_gateway {
-        core::milliseconds at{0};
-        bool asked_for_rest = false;
+        stated_rest stated;
     };
 
     void choose_servers();
     void trouble_one_gateway();
     void begin_to_rest();
     void serve_again();
-    void check_rest(const resting_server& resting);
     void check_use_afterwards();
     [[nodiscard]] bool is_judged(const request_record& record) const;
     net::asio::awaitable<void> play();
@@ -63,8 +57,6 @@
     rest_result result_;
     std::vector<resting_server> resting_;
     core::milliseconds served_again_at_{0};
-    std::size_t asked_ = 0;    ///< number of requests that were turned away
-    std::size_t greatest_ = 0; ///< number of requests in a time of rest
 };
 
 } // namespace knapweed::soak
--- a/tests/platform/restore/restore_run.cpp
+++ b/tests/platform/restore/restore_run.cpp
@@ -212,11 +212,7 @@
 /** @returns whether the gateway of a request knows eras and was in touch with the store for long enough. */
 bool restore_run::is_judged(const request_record& record) const
 {
-    const auto& gateways = fleet_.gateways();
-    const auto sender = std::find_if(gateways.begin(), gateways.end(), [&record](const auto& gateway) {
-        return gateway->place().name == record.gateway;
-    });
-    if (sender != gateways.end() && (*sender)->runs_previous_program(record.incarnation))
+    if (fleet_.concerns_previous_program(record))
         return false;
     if (kind_ == restore_kind::restart && record.incarnation > 1)
         return record.sent >= back_at_.back() + contact_time;
--- a/tests/platform/soak/request_records.h
+++ b/tests/platform/soak/request_records.h
@@ -14,9 +14,9 @@
     std::string server;
     std::string service;
     core::milliseconds at{0};
-    bool ran = false;            ///< the server began to run it
-    bool asked_for_rest = false; ///< it was turned away with a time of rest
-    bool stated_leaving = false; ///< its answer stated that the server leaves
+    bool ran = false;                       ///< the server began to run it
+    bool stated_leaving = false;            ///< its answer stated that the server leaves
+    std::optional<core::milliseconds> rest; ///< for which it was turned away; 0 for a text that states none
 };
 
 /** How a request ended for its caller. */
--- a/tests/platform/soak/server_stand_in.cpp
+++ b/tests/platform/soak/server_stand_in.cpp
@@ -132,13 +132,14 @@
         const bool wrong_server = call["Target-Instance"] != id_;
         const bool full = running_ >= slots && waiting_ >= queue;
         if (wrong_server || full || rest_ || fault_ == server_fault::sheds) {
-            arrival.asked_for_rest = rest_.has_value();
+            if (rest_)
+                arrival.rest = rest_->rest;
             if (!wrong_server)
                 records_[request_id].arrivals.push_back(arrival);
             auto answer = make_answer(wrong_server ? 421 : 503, request_id);
             answer.set("Not-Executed", "1");
             if (rest_ && !wrong_server)
-                answer.set("Retry-After", *rest_);
+                answer.set("Retry-After", rest_->text);
             if (!co_await write(*socket, std::move(answer)))
                 co_return;
             continue;
--- a/tests/platform/soak/server_stand_in.h
+++ b/tests/platform/soak/server_stand_in.h
@@ -16,6 +16,12 @@
 /** What a backend server does wrong. */
 enum class server_fault { none, slow, mute, hangs, extra_answer, truncates, unframed, endless, sheds };
 
+/** What a server that wants no requests for a time states. */
+struct stated_rest {
+    std::string text;           ///< of the field
+    core::milliseconds rest{0}; ///< that it means, 0 for none
+};
+
 /** A backend server: slots, a queue, the check of the expected id, and faults. */
 class server_stand_in {
 public:
@@ -31,8 +37,8 @@
     void set_limit(std::optional<double> requests_per_second) { limit_ = requests_per_second; }
     /** States in a share of the answers, from 0 to 1, that the server leaves. */
     void set_leaving(double share) { leaving_share_ = share; }
-    /** Turns all requests away and states a time of rest, or serves again. @param text of the field. */
-    void set_rest(std::optional<std::string> text) { rest_ = std::move(text); }
+    /** Turns all requests away and states a time of rest, or serves again. */
+    void set_rest(std::optional<stated_rest> rest) { rest_ = std::move(rest); }
     /** Sets a function that is called when a request has ended the server. */
     void on_end(std::function<void()> hook) { on_end_ = std::move(hook); }
     /** Ends the process of the server: nobody listens, all connections are reset. */
@@ -67,7 +73,7 @@
     server_fault fault_ = server_fault::none;
     std::optional<double> limit_;
     double leaving_share_ = 0;
-    std::optional<std::string> rest_;
+    std::optional<stated_rest> rest_;
     std::function<void()> on_end_;
     unsigned running_ = 0;
     unsigned waiting_ = 0;
--- a/tests/platform/soak/soak_run.cpp
+++ b/tests/platform/soak/soak_run.cpp
@@ -1,5 +1,7 @@
 #include "soak_run.h"
 
+#include "statement_checker.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <csignal>
@@ -19,6 +21,21 @@
 constexpr int faults_per_run = 14;
 constexpr int planned_per_run = 6;
 constexpr int only_planned_divisor = 3;
+/** Servers that state that they leave, or that they want rest, in each run; the latter not with planned work
+    only. */
+constexpr int leaving_per_run = 2;
+constexpr int resting_per_run = 2;
+constexpr int returns_of_store_per_run = 2;
+/** A server that only its answers state to leave ends this long after the first of them. */
+constexpr core::milliseconds stated_drain_time{5000};
+/** The store comes back from a copy of at most this age. */
+constexpr core::milliseconds oldest_copy{6000};
+constexpr core::milliseconds longest_rest{4000};
+/** What the copy lacks is written again within this time. */
+constexpr core::milliseconds longest_rewrite{2000};
+/** A gateway counts as in touch this long after trouble. */
+constexpr core::milliseconds contact_time{3000};
+constexpr std::uint64_t statements_seed = 0x5bd1e995;
 /** The run ends when each caller has this many successes in a row, or fails after the time. */
 constexpr unsigned successes_to_end = 10;
 constexpr core::milliseconds longest_recovery{20000};
@@ -31,7 +48,8 @@
 soak_run::soak_run(soak_options options)
     : options_(std::move(options)),
       fleet_({options_.program, options_.directory, options_.previous_program,
-              "soak-" + std::to_string(options_.seed), options_.seed, options_.gateways})
+              "soak-" + std::to_string(options_.seed), options_.seed, options_.gateways}),
+      statements_(options_.seed ^ statements_seed)
 {
     result_.history = fleet_.history_file();
     changes_.only_planned = options_.seed % only_planned_divisor == 0;
@@ -47,6 +65,7 @@
     fleet_.io().run();
     auto broken = check_promises(fleet_.records(), changes_);
     result_.broken.insert(result_.broken.end(), broken.begin(), broken.end());
+    check_statements();
     for (const auto& [id, record] : fleet_.records()) {
         ++result_.requests;
         result_.successes += record.result == caller_result::answered && record.status < 300 ? 1 : 0;
@@ -84,6 +103,87 @@
         add_planned_work(at());
     for (int i = 0; i < faults_per_run && !changes_.only_planned; ++i)
         add_fault(at());
+    const auto at_apart = [this] {
+        return warm_up +
+               core::milliseconds(statements_.below(static_cast<std::uint64_t>(options_.length.count())));
+    };
+    for (int i = 0; i < leaving_per_run; ++i)
+        announce_leaving(at_apart());
+    for (int i = 0; i < resting_per_run && !changes_.only_planned; ++i)
+        ask_for_rest(at_apart());
+    for (int i = 0; i < returns_of_store_per_run && !changes_.only_planned; ++i)
+        return_older_store(at_apart());
+}
+
+/** A server states in its answers that it leaves; its entry in the store stays as it is. */
+void soak_run::announce_leaving(core::milliseconds at)
+{
+    auto& place = fleet_.servers()[statements_.below(fleet_.servers().size())];
+    const double share = statements_.below(2) == 0 ? 1 : 0.5;
+    schedule(at, [this, &place, share] {
+        const auto id = place.server->id();
+        place.server->set_leaving(share);
+        fleet_.history().add("server_states_leaving", {{"server", id}, {"share", share}});
+        schedule(stated_drain_time, [this, &place, id] { end_and_restart(place, id); });
+    });
+}
+
+/** A server turns all requests away and states how long it wants none. */
+void soak_run::ask_for_rest(core::milliseconds at)
+{
+    ++result_.faults;
+    auto& place = fleet_.servers()[statements_.below(fleet_.servers().size())];
+    const core::milliseconds rest(1 + statements_.below(longest_rest.count()));
+    const core::milliseconds duration(1 + statements_.below(longest_fault.count()));
+    schedule(at, [this, &place, rest] {
+        const double seconds = std::chrono::duration<double>(rest).count();
+        fleet_.history().add("server_rests", {{"server", place.server->id()}, {"seconds", seconds}});
+        place.server->set_rest(stated_rest{std::to_string(seconds), rest});
+    });
+    schedule(at + duration, [&place] { place.server->set_rest(std::nullopt); });
+}
+
+/** The store is away and comes back from an older copy of its rows. */
+void soak_run::return_older_store(core::milliseconds at)
+{
+    ++result_.faults;
+    const auto fault = statements_.below(2) == 0 ? store_fault::refuses : store_fault::silent;
+    const core::milliseconds away(200 + statements_.below(longest_fault.count()));
+    const core::milliseconds age(statements_.below(oldest_copy.count()));
+    schedule(at, [this, fault] { fleet_.store().set_fault(fault); });
+    schedule(at + away, [this, age, at] {
+        // The rows from before the start are never lost.
+        const auto used_age = std::min(age, at);
+        fleet_.history().add("store_returns", {{"age_ms", used_age.count()}});
+        fleet_.store().restore(used_age, [this](const std::string&, const std::string&) {
+            return core::milliseconds(statements_.below(longest_rewrite.count()));
+        });
+        fleet_.store().set_fault(store_fault::none);
+    });
+}
+
+void soak_run::note_disturbance(const std::string& concerned, core::milliseconds at,
+                                core::milliseconds duration)
+{
+    changes_.disturbances.push_back({concerned, at, at + duration});
+}
+
+/** Gateways heed what servers state to them, unless they were suspended or the link was in trouble. */
+void soak_run::check_statements()
+{
+    const auto is_judged = [this](const request_record& record, const server_arrival& arrival,
+                                  core::milliseconds since) {
+        const auto excuses = [&](const disturbance& trouble) {
+            const bool is_concerned =
+                trouble.concerned == record.gateway || arrival.server.starts_with(trouble.concerned + "-");
+            return is_concerned && trouble.from <= arrival.at && since <= trouble.to + contact_time;
+        };
+        return !fleet_.concerns_previous_program(record) &&
+               std::none_of(changes_.disturbances.begin(), changes_.disturbances.end(), excuses);
+    };
+    const statement_checker checker(fleet_.records(), is_judged);
+    for (const auto& broken : {checker.check_leaving(), checker.check_rests()})
+        result_.broken.insert(result_.broken.end(), broken.begin(), broken.end());
 }
 
 void soak_run::add_planned_work(core::milliseconds at)
@@ -118,7 +218,7 @@
         return schedule(at + duration, [this] { fleet_.store().set_fault(store_fault::none); });
     }
     const auto fault = static_cast<link_fault>(1 + fleet_.random().below(4));
-    auto& proxy = kind == 8 ? *any_of(fleet_.store_links()) : *any_of(fleet_.servers()).proxy;
+    auto& proxy = kind == 8 ? *any_of(fleet_.store_links()) : *disturbed_server(at, duration).proxy;
     schedule(at, [this, &proxy, fault] {
         fleet_.history().add("link_fault",
                              {{"fault", static_cast<int>(fault)}, {"link", text_of(proxy.address())}});
@@ -130,11 +230,21 @@
     });
 }
 
+/** @returns a server whose link is in trouble from a time on. */
+soak_run::server_place& soak_run::disturbed_server(core::milliseconds at, core::milliseconds duration)
+{
+    auto& place = any_of(fleet_.servers());
+    const auto& id = place.server->id(); // of its process; those that follow differ in the last number
+    note_disturbance(id.substr(0, id.rfind('-')), at, duration);
+    return place;
+}
+
 void soak_run::add_gateway_fault(core::milliseconds at, core::milliseconds duration)
 {
     auto& gateway = *any_of(fleet_.gateways());
     if (fleet_.random().below(2) == 0)
         return schedule(at, [this, &gateway] { stop_gateway(gateway, SIGKILL); });
+    note_disturbance(gateway.place().name, at, duration);
     schedule(at, [&gateway] { gateway.send(SIGSTOP); });
     schedule(at + duration, [&gateway] { gateway.send(SIGCONT); });
 }
@@ -190,14 +300,18 @@
     fleet_.write_server(place, true);
     changes_.leaving_since[id] = fleet_.history().elapsed();
     fleet_.history().add("server_leaves", {{"server", id}});
-    schedule(drain_time, [this, &place, id] {
-        if (place.server->id() != id)
-            return;
-        fleet_.store().remove("servers", id);
-        place.server->crash();
-        place.server->restart();
-        fleet_.write_server(place, false);
-    });
+    schedule(drain_time, [this, &place, id] { end_and_restart(place, id); });
+}
+
+/** Ends the process @p id of a server that leaves, if it is still running, and starts another one. */
+void soak_run::end_and_restart(server_place& place, const std::string& id)
+{
+    if (place.server->id() != id)
+        return;
+    fleet_.store().remove("servers", id);
+    place.server->crash();
+    place.server->restart();
+    fleet_.write_server(place, false);
 }
 
 asio::awaitable<void> soak_run::watch_processes()
--- a/tests/platform/soak/soak_run.h
+++ b/tests/platform/soak/soak_run.h
@@ -51,8 +51,15 @@
     void add_fault(core::milliseconds at);
     void add_gateway_fault(core::milliseconds at, core::milliseconds duration);
     void add_server_fault(core::milliseconds at, core::milliseconds duration);
+    [[nodiscard]] server_place& disturbed_server(core::milliseconds at, core::milliseconds duration);
+    void announce_leaving(core::milliseconds at);
+    void ask_for_rest(core::milliseconds at);
+    void return_older_store(core::milliseconds at);
+    void note_disturbance(const std::string& concerned, core::milliseconds at, core::milliseconds duration);
+    void check_statements();
     void stop_gateway(gateway_process& gateway, int signal);
     void drain(server_place& place);
+    void end_and_restart(server_place& place, const std::string& id);
     net::asio::awaitable<void> watch_processes();
     net::asio::awaitable<void> finish();
 
@@ -64,6 +71,7 @@
 
     soak_options options_;
     store_fleet fleet_;
+    core::random_source statements_; ///< apart from the fleet's, so that earlier seeds keep their faults
     planned_changes changes_;
     soak_result result_;
     std::uint64_t configuration_ = 0;
--- a/tests/platform/soak/store_fleet.cpp
+++ b/tests/platform/soak/store_fleet.cpp
@@ -1,5 +1,6 @@
 #include "store_fleet.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <unistd.h>
@@ -126,6 +127,13 @@
     co_await pause.async_wait(net::as_result);
 }
 
+bool store_fleet::concerns_previous_program(const request_record& record) const
+{
+    return std::any_of(gateways_.begin(), gateways_.end(), [&record](const auto& gateway) {
+        return gateway->place().name == record.gateway && gateway->runs_previous_program(record.incarnation);
+    });
+}
+
 std::vector<std::string> store_fleet::restart_ended_gateways()
 {
     std::vector<std::string> unexpected_ends;
--- a/tests/platform/soak/store_fleet.h
+++ b/tests/platform/soak/store_fleet.h
@@ -56,6 +56,8 @@
 
     void schedule(core::milliseconds at, std::function<void()> action);
     net::asio::awaitable<void> sleep(core::milliseconds time);
+    /** @returns whether a request was sent to a process of the earlier build. */
+    [[nodiscard]] bool concerns_previous_program(const request_record& record) const;
     /** Starts processes again that have ended. @returns descriptions of ends that nobody asked for. */
     [[nodiscard]] std::vector<std::string> restart_ended_gateways();
 
