Share the troubles of a single gateway between the limit, the leave and the rest test

Cause: each of the three tests had its own copy of the kinds, the options and the result of a run, and of the switch over the kinds. Change: gateway_trouble.h holds them; place_fleet schedules the trouble. No check has changed, seeds keep their runs.

--- a/tests/platform/cut/place_fleet.cpp
+++ b/tests/platform/cut/place_fleet.cpp
@@ -19,6 +19,19 @@
 
 } // namespace
 
+fleet_options make_fleet_options(const std::string& test, const trouble_options& options, std::size_t regions)
+{
+    const auto kind = static_cast<std::uint64_t>(options.kind);
+    fleet_options result;
+    result.program = options.program;
+    result.directory = options.directory;
+    result.previous_program = options.previous_program;
+    result.name = test + "-" + std::string(core::name_of(options.kind)) + "-" + std::to_string(options.seed);
+    result.seed = options.seed * core::number_of_values<gateway_trouble> + kind;
+    result.regions = regions;
+    return result;
+}
+
 place_fleet::place_fleet(fleet_options options)
     : options_(std::move(options)), random_(options_.seed),
       ports_(static_cast<std::uint64_t>(::getpid()) ^ random_.next()),
@@ -107,6 +120,26 @@
     });
 }
 
+void place_fleet::trouble_last(gateway_trouble kind, core::milliseconds after, core::milliseconds duration)
+{
+    switch (kind) {
+    case gateway_trouble::steady:
+        break;
+    case gateway_trouble::cut:
+        cut_off_servers(after, duration);
+        break;
+    case gateway_trouble::restart:
+        kill_and_restart(after);
+        break;
+    case gateway_trouble::freeze:
+        suspend(after, duration);
+        break;
+    case gateway_trouble::late:
+        start_late(after);
+        break;
+    }
+}
+
 std::string place_fleet::troubled_gateway() const
 {
     return "gateway-" + cut_place::data_centre_name(places_.size() - 1);
--- a/tests/platform/cut/place_fleet.h
+++ b/tests/platform/cut/place_fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cut_place.h"
+#include "gateway_trouble.h"
 #include "port_block.h"
 
 #include <boost/asio/io_context.hpp>
@@ -16,6 +17,10 @@
     std::size_t regions = cut_place::number_of_places;
 };
 
+/** @param test whose name the run bears. */
+[[nodiscard]] fleet_options make_fleet_options(const std::string& test, const trouble_options& options,
+                                               std::size_t regions = cut_place::number_of_places);
+
 /** Real gateways with their places, the servers, and what callers and servers saw; for runs in which servers
     or single gateways are in trouble. */
 class place_fleet {
@@ -58,6 +63,8 @@
     void kill_and_restart(core::milliseconds after);
     void suspend(core::milliseconds after, core::milliseconds duration);
     void start_late(core::milliseconds after);
+    /** Schedules one of them, or nothing. @param duration of those that end. */
+    void trouble_last(gateway_trouble kind, core::milliseconds after, core::milliseconds duration);
 
 private:
     void share_writes(cut_place& from);
--- a/tests/platform/leave/leave_run.cpp
+++ b/tests/platform/leave/leave_run.cpp
@@ -29,24 +29,17 @@
 constexpr double least_share_refused_in_time = 0.98;
 const std::string abandoned_service = "moved"; ///< all its servers leave
 
-fleet_options make_fleet_options(const leave_options& options)
-{
-    const auto kind = static_cast<std::uint64_t>(options.kind);
-    return {options.program, options.directory, options.previous_program,
-            "leave-" + std::string(core::name_of(options.kind)) + "-" + std::to_string(options.seed),
-            options.seed * core::number_of_values<leave_kind> + kind};
-}
-
 } // namespace
 
-leave_run::leave_run(const leave_options& options) : kind_(options.kind), fleet_(make_fleet_options(options))
+leave_run::leave_run(const trouble_options& options)
+    : kind_(options.kind), fleet_(make_fleet_options("leave", options))
 {}
 
-leave_result leave_run::run()
+trouble_result leave_run::run()
 {
     choose_servers();
     result_.history = fleet_.history_file();
-    result_.broken = fleet_.run(kind_ == leave_kind::late, [this] { return play(); });
+    result_.broken = fleet_.run(kind_ == gateway_trouble::late, [this] { return play(); });
     const statement_checker checker(fleet_.records(), [this](const auto& record, const auto&, auto told) {
         return is_judged(record, told);
     });
@@ -102,27 +95,6 @@
     }
 }
 
-/** Schedules what the kind of the run does to one gateway, from the first statements on. */
-void leave_run::trouble_one_gateway()
-{
-    switch (kind_) {
-    case leave_kind::steady:
-        break;
-    case leave_kind::cut:
-        fleet_.cut_off_servers(trouble_start, trouble_length);
-        break;
-    case leave_kind::restart:
-        fleet_.kill_and_restart(trouble_start);
-        break;
-    case leave_kind::freeze:
-        fleet_.suspend(trouble_start, trouble_length);
-        break;
-    case leave_kind::late:
-        fleet_.start_late(trouble_start);
-        break;
-    }
-}
-
 /** @param told when the gateway had an answer that the server leaves.
     @returns whether the request left its own gateway, and this one has run since it was told. */
 bool leave_run::is_judged(const request_record& record, core::milliseconds told) const
@@ -133,9 +105,9 @@
         return true;
     const auto begin = began_at_ + trouble_start;
     const auto end = begin + trouble_length;
-    if (kind_ == leave_kind::cut)
+    if (kind_ == gateway_trouble::cut)
         return record.sent < begin || record.sent > end;
-    return kind_ != leave_kind::freeze || record.sent < begin || told > end;
+    return kind_ != gateway_trouble::freeze || record.sent < begin || told > end;
 }
 
 /** New processes of servers that have left must get requests like the others. */
@@ -199,7 +171,7 @@
     fleet_.start_callers();
     co_await fleet_.sleep(load_before);
     begin_to_leave();
-    trouble_one_gateway();
+    fleet_.trouble_last(kind_, trouble_start, trouble_length);
     co_await fleet_.sleep(time_to_start_again);
     start_again();
     co_await fleet_.sleep(load_after);
--- a/tests/platform/leave/leave_run.h
+++ b/tests/platform/leave/leave_run.h
@@ -4,15 +4,6 @@
 
 namespace knapweed::soak {
 
-/** What happens to one of the gateways. */
-enum class leave_kind {
-    steady,  ///< all gateways run
-    cut,     ///< one gateway loses its paths to all servers for a time, and relays
-    restart, ///< one gateway is killed and started again
-    freeze,  ///< one gateway is suspended for a time
-    late     ///< one gateway starts while servers are leaving
-};
-
 /** What a server does while its answers state that it leaves. */
 enum class leave_way {
     keeps_entry,    ///< its entry in the store stays as it was
@@ -22,28 +13,13 @@
     wavers          ///< some of its answers don't state it
 };
 
-struct leave_options {
-    std::string program;          ///< path of knapweed-gateway
-    std::string directory;        ///< for the history, settings and logs
-    std::string previous_program; ///< an earlier build, which every second gateway runs at first; or empty
-    std::uint64_t seed = 1;
-    leave_kind kind = leave_kind::steady;
-};
-
-/** Result of one run. */
-struct leave_result {
-    std::vector<std::string> broken; ///< promises, in words
-    std::string summary;
-    std::string history; ///< file
-};
-
 /** One run of real gateways under load, in which some servers of two services, and all of a third one, state
     in their answers that they leave. Some start again later. */
 class leave_run {
 public:
-    explicit leave_run(const leave_options& options);
+    explicit leave_run(const trouble_options& options);
 
-    [[nodiscard]] leave_result run();
+    [[nodiscard]] trouble_result run();
 
 private:
     struct leaving_server {
@@ -54,7 +30,6 @@
     };
 
     void choose_servers();
-    void trouble_one_gateway();
     void begin_to_leave();
     void start_again();
     void check_use_of_new_processes();
@@ -62,9 +37,9 @@
     [[nodiscard]] bool is_judged(const request_record& record, core::milliseconds told) const;
     net::asio::awaitable<void> play();
 
-    leave_kind kind_;
+    gateway_trouble kind_;
     place_fleet fleet_;
-    leave_result result_;
+    trouble_result result_;
     std::vector<leaving_server> leaving_;
     core::milliseconds began_at_{0};
     core::milliseconds started_again_at_{0};
@@ -74,11 +49,6 @@
 
 namespace knapweed::core {
 
-template <>
-struct names_of<soak::leave_kind> {
-    static constexpr std::array<std::string_view, 5> table{"steady", "cut", "restart", "freeze", "late"};
-};
-
 template <>
 struct names_of<soak::leave_way> {
     static constexpr std::array<std::string_view, 5> table{"keeps_entry", "rewrites_entry", "loses_entry",
--- a/tests/platform/limit/limit_run.cpp
+++ b/tests/platform/limit/limit_run.cpp
@@ -28,27 +28,17 @@
 constexpr std::size_t limited_divisor = 4;
 constexpr std::size_t regions = 2;
 
-fleet_options make_fleet_options(const limit_options& options)
-{
-    const auto kind = static_cast<std::uint64_t>(options.kind);
-    return {options.program,
-            options.directory,
-            options.previous_program,
-            "limit-" + std::string(core::name_of(options.kind)) + "-" + std::to_string(options.seed),
-            options.seed * core::number_of_values<limit_kind> + kind,
-            regions};
-}
-
 } // namespace
 
-limit_run::limit_run(const limit_options& options) : kind_(options.kind), fleet_(make_fleet_options(options))
+limit_run::limit_run(const trouble_options& options)
+    : kind_(options.kind), fleet_(make_fleet_options("limit", options, regions))
 {}
 
-limit_result limit_run::run()
+trouble_result limit_run::run()
 {
     choose_servers();
     result_.history = fleet_.history_file();
-    result_.broken = fleet_.run(kind_ == limit_kind::late, [this] { return play(); });
+    result_.broken = fleet_.run(kind_ == gateway_trouble::late, [this] { return play(); });
     for (const auto& limited : limited_)
         check_limits(limited);
     check_use_after_limits();
@@ -93,27 +83,6 @@
     }
 }
 
-/** Schedules what the kind of the run does to one gateway, from the naming of the limits on. */
-void limit_run::trouble_one_gateway()
-{
-    switch (kind_) {
-    case limit_kind::steady:
-        break;
-    case limit_kind::cut:
-        fleet_.cut_off_servers(trouble_start, trouble_length);
-        break;
-    case limit_kind::restart:
-        fleet_.kill_and_restart(trouble_start);
-        break;
-    case limit_kind::freeze:
-        fleet_.suspend(trouble_start, trouble_length);
-        break;
-    case limit_kind::late:
-        fleet_.start_late(trouble_start);
-        break;
-    }
-}
-
 /** @param of_troubled_gateway also counts the gateway that is restarted, cut off or frozen. */
 std::vector<core::milliseconds> limit_run::arrivals_at(const std::string& server,
                                                        bool of_troubled_gateway) const
@@ -136,7 +105,8 @@
 /** Checks all windows from the contact time on, also those in which the limit is lowered. */
 void limit_run::check_limits(const limited_server& limited)
 {
-    const auto arrivals = arrivals_at(limited.id, kind_ == limit_kind::steady || kind_ == limit_kind::late);
+    const auto arrivals =
+        arrivals_at(limited.id, kind_ == gateway_trouble::steady || kind_ == gateway_trouble::late);
     for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
         const auto end = *first + window;
         if (*first < named_at_ + contact_time || end > ended_at_)
@@ -197,7 +167,7 @@
     fleet_.start_callers();
     co_await fleet_.sleep(load_before);
     set_limits(false);
-    trouble_one_gateway();
+    fleet_.trouble_last(kind_, trouble_start, trouble_length);
     co_await fleet_.sleep(time_to_lowering);
     set_limits(true);
     co_await fleet_.sleep(time_to_end);
--- a/tests/platform/rest/main.cpp
+++ b/tests/platform/rest/main.cpp
@@ -22,5 +22,5 @@
 int main(int argc, char** argv)
 {
     using namespace knapweed::soak;
-    return seeded_main<rest_run, rest_options>(argc, argv, usage);
+    return seeded_main<rest_run, trouble_options>(argc, argv, usage);
 }
--- a/tests/platform/rest/rest_run.cpp
+++ b/tests/platform/rest/rest_run.cpp
@@ -34,23 +34,17 @@
                                                {"Fri, 31 Dec 2027 23:59:59 GMT", core::milliseconds(0)},
                                                {"0", core::milliseconds(0)}}};
 
-fleet_options make_fleet_options(const rest_options& options)
-{
-    const auto kind = static_cast<std::uint64_t>(options.kind);
-    return {options.program, options.directory, options.previous_program,
-            "rest-" + std::string(core::name_of(options.kind)) + "-" + std::to_string(options.seed),
-            options.seed * core::number_of_values<rest_kind> + kind};
-}
-
 } // namespace
 
-rest_run::rest_run(const rest_options& options) : kind_(options.kind), fleet_(make_fleet_options(options)) {}
+rest_run::rest_run(const trouble_options& options)
+    : kind_(options.kind), fleet_(make_fleet_options("rest", options))
+{}
 
-rest_result rest_run::run()
+trouble_result rest_run::run()
 {
     choose_servers();
     result_.history = fleet_.history_file();
-    result_.broken = fleet_.run(kind_ == rest_kind::late, [this] { return play(); });
+    result_.broken = fleet_.run(kind_ == gateway_trouble::late, [this] { return play(); });
     const statement_checker checker(
         fleet_.records(), [this](const auto& record, const auto&, auto) { return is_judged(record); });
     const auto unheeded = checker.check_rests();
@@ -93,30 +87,9 @@
         fleet_.servers()[resting.number]->set_rest(std::nullopt);
 }
 
-/** Schedules what the kind of the run does to one gateway, from the first rests on. */
-void rest_run::trouble_one_gateway()
-{
-    switch (kind_) {
-    case rest_kind::steady:
-        break;
-    case rest_kind::cut:
-        fleet_.cut_off_servers(trouble_start, trouble_length);
-        break;
-    case rest_kind::restart:
-        fleet_.kill_and_restart(trouble_start);
-        break;
-    case rest_kind::freeze:
-        fleet_.suspend(trouble_start, trouble_length);
-        break;
-    case rest_kind::late:
-        fleet_.start_late(trouble_start);
-        break;
-    }
-}
-
 bool rest_run::is_judged(const request_record& record) const
 {
-    const bool is_excused = (kind_ == rest_kind::cut || kind_ == rest_kind::freeze) &&
+    const bool is_excused = (kind_ == gateway_trouble::cut || kind_ == gateway_trouble::freeze) &&
                             record.gateway == fleet_.troubled_gateway();
     return !is_excused && !fleet_.concerns_previous_program(record);
 }
@@ -163,7 +136,7 @@
     fleet_.start_callers();
     co_await fleet_.sleep(load_before);
     begin_to_rest();
-    trouble_one_gateway();
+    fleet_.trouble_last(kind_, trouble_start, trouble_length);
     co_await fleet_.sleep(time_turned_away);
     serve_again();
     co_await fleet_.sleep(load_after);
