Hold the ports of servers' stand-ins as those of gateways are held

A server's stand-in tried a port, let it go and bound it again; runs of different tests with the same seed draw the same ports at the same moment, and one tried a port while the other let it go. Change: a stand-in holds its port from the draw on, with the class that holds the ports of gateways. Conclusion: a fault of the test, not of the gateway; the restarts of stand-ins no longer compete for ports either.

--- a/tests/platform/soak/port_block.cpp
+++ b/tests/platform/soak/port_block.cpp
@@ -6,10 +6,9 @@
 
 namespace {
 
-/** Above the ports of the servers' stand-ins, and below those that the system gives to outgoing connections.
- */
-constexpr std::uint64_t lowest_port = 22100;
-constexpr std::uint64_t range = 10000;
+/** Below the ports that the system gives to outgoing connections. */
+constexpr std::uint64_t lowest_port = 10000;
+constexpr std::uint64_t range = 22100;
 
 } // namespace
 
--- a/tests/platform/soak/server_stand_in.cpp
+++ b/tests/platform/soak/server_stand_in.cpp
@@ -1,7 +1,5 @@
 #include "server_stand_in.h"
 
-#include "free_ports.h"
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
@@ -39,8 +37,8 @@
 server_stand_in::server_stand_in(asio::any_io_executor executor, std::string id, std::string service,
                                  request_records& records, event_history& history, std::uint64_t seed)
     : executor_(std::move(executor)), base_id_(std::move(id)), service_(std::move(service)),
-      records_(records), history_(history), random_(seed),
-      address_(asio::ip::address_v4::loopback(), free_ports(executor_, random_, 1))
+      records_(records), history_(history), random_(seed), port_(executor_, random_, 1),
+      address_(asio::ip::address_v4::loopback(), port_.first())
 {
     restart();
 }
--- a/tests/platform/soak/server_stand_in.h
+++ b/tests/platform/soak/server_stand_in.h
@@ -2,6 +2,7 @@
 
 #include "event_history.h"
 #include "net/asio_types.h"
+#include "port_block.h"
 #include "request_records.h"
 
 #include <boost/beast/http.hpp>
@@ -67,6 +68,7 @@
     request_records& records_;
     event_history& history_;
     core::random_source random_;
+    port_block port_; ///< held also while no process of the server runs
     net::tcp::endpoint address_;
     std::unique_ptr<net::tcp::acceptor> acceptor_;
     std::list<std::weak_ptr<net::tcp::socket>> connections_;
