--- a/source/net/metrics.h
+++ b/source/net/metrics.h
@@ -29,6 +29,7 @@
     bytes_to_peers,
     bytes_to_servers,
     bytes_to_platform,
+    bytes_from_platform,
     platform_calls,
     platform_calls_failed,
     probes_sent,
@@ -69,7 +70,7 @@
 
 template <>
 struct names_of<net::counter> {
-    static constexpr std::array<std::string_view, 33> table{"connections_accepted",
+    static constexpr std::array<std::string_view, 34> table{"connections_accepted",
                                                             "connections_refused",
                                                             "requests_received",
                                                             "requests_malformed",
@@ -92,6 +93,7 @@
                                                             "bytes_to_peers",
                                                             "bytes_to_servers",
                                                             "bytes_to_platform",
+                                                            "bytes_from_platform",
                                                             "platform_calls",
                                                             "platform_calls_failed",
                                                             "probes_sent",
--- a/source/steering/store_reader_role.cpp
+++ b/source/steering/store_reader_role.cpp
@@ -82,6 +82,12 @@
     return copy.newest_of_peers > copy.position || copy.position.era < era_;
 }
 
+core::duration store_reader_role::outdated_for(replicated_table table) const
+{
+    const auto& behind_since = copies_.at(index_of(table)).behind_since;
+    return behind_since ? time_.now() - *behind_since : core::duration::zero();
+}
+
 bool store_reader_role::is_behind(replicated_table table) const
 {
     const auto& copy = copies_.at(index_of(table));
--- a/source/steering/store_reader_role.h
+++ b/source/steering/store_reader_role.h
@@ -34,6 +34,9 @@
     [[nodiscard]] bool must_follow_store() const { return is_reader() || !has_reader(); }
     /** @returns whether another instance has a change that this instance has not received. */
     [[nodiscard]] bool is_outdated(replicated_table table) const;
+    /** @returns how long this instance has known that another one has a change that it has not received; 0
+     * when no other has one. */
+    [[nodiscard]] core::duration outdated_for(replicated_table table) const;
     /** @returns whether another instance has a change that this instance should have received by now. */
     [[nodiscard]] bool is_behind(replicated_table table) const;
 
