--- a/tests/platform/soak/store_fleet.cpp
+++ b/tests/platform/soak/store_fleet.cpp
@@ -61,7 +61,8 @@
             .dump());
 }
 
-void store_fleet::write_configuration(unsigned version, const std::string& moved_to)
+std::size_t store_fleet::write_configuration(unsigned version, const std::string& moved_to,
+                                             unsigned more_routes)
 {
     std::array<char, 16> version_text{};
     std::snprintf(version_text.data(), version_text.size(), "%08x", version);
@@ -78,11 +79,18 @@
                   {"moved", make_route("/moved/", "safe", moved_to)}}},
                 {"services", json::object()},
                 {"limits", {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 1 << 20}}}};
+    for (unsigned i = 0; i < more_routes; ++i) {
+        auto route = make_route("/" + core::to_hex(core::hash_text(std::to_string(i))) + "/", "safe", "read");
+        route["host"] = "shop" + std::to_string(i) + ".example";
+        config["routes"]["more-" + std::to_string(i)] = std::move(route);
+    }
     for (const auto& place : servers_)
         config["services"][place.server->service()] = {
             {"maxConns", 200}, {"coldStartS", 0.0}, {"coldPerS", 20.0}};
     history_.add("configuration", {{"version", version_text.data()}, {"moved_to", moved_to}});
-    store_.put("op", "config", config.dump());
+    const auto text = config.dump();
+    store_.put("op", "config", text);
+    return text.size();
 }
 
 void store_fleet::start_gateways()
--- a/tests/platform/soak/store_fleet.h
+++ b/tests/platform/soak/store_fleet.h
@@ -49,8 +49,9 @@
     void add_servers(const std::string& service, int number);
     [[nodiscard]] std::string data_centre_of(const server_place& place) const;
     void write_server(const server_place& place, bool leaving);
-    /** Writes a configuration. @param moved_to service to which the route `/moved/` leads. */
-    void write_configuration(unsigned version, const std::string& moved_to);
+    /** Writes a configuration. @param moved_to service to which the route `/moved/` leads. @param more_routes
+       number of further routes, which nobody uses. @returns its size in bytes. */
+    std::size_t write_configuration(unsigned version, const std::string& moved_to, unsigned more_routes = 0);
     void start_gateways();
     void start_callers(int number, caller_habits habits = {});
 
--- a/tests/platform/soak/store_stand_in.cpp
+++ b/tests/platform/soak/store_stand_in.cpp
@@ -4,7 +4,9 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <sstream>
 
 namespace knapweed::soak {
 
@@ -17,6 +19,7 @@
 constexpr core::milliseconds poll_interval{10};
 constexpr core::milliseconds slow_answer{700};
 constexpr core::milliseconds late_write{1500};
+constexpr std::size_t bytes_per_part = 8192;
 constexpr std::size_t rows_per_page = 6; ///< small, so that lists take several calls
 
 /** @returns the value of a parameter of a target's query, empty when absent. */
@@ -142,12 +145,43 @@
         response.set("Store-Era", std::to_string(era_));
         response.body() = result->body.dump();
         response.prepare_payload();
-        const auto [write_error, written] = co_await http::async_write(socket, response, net::as_result);
-        if (write_error)
+        answered_bytes_[parameter(std::string(call.target()), "tableName")] += response.body().size();
+        std::ostringstream text;
+        text << response;
+        if (!co_await write_answer(socket, text.str()))
             co_return;
     }
 }
 
+/** Writes an answer in parts, between which other connections get their share of the path. */
+asio::awaitable<bool> store_stand_in::write_answer(net::tcp::socket& socket, const std::string& text)
+{
+    asio::steady_timer turn(executor_);
+    for (std::size_t sent = 0; sent < text.size();) {
+        const auto part = answer_rate_ == 0 ? text.size() : std::min(bytes_per_part, text.size() - sent);
+        if (answer_rate_ > 0) {
+            const std::chrono::duration<double> taken(static_cast<double>(part) /
+                                                      static_cast<double>(answer_rate_));
+            answers_sent_until_ = std::max(answers_sent_until_, std::chrono::steady_clock::now()) +
+                                  std::chrono::duration_cast<std::chrono::steady_clock::duration>(taken);
+            turn.expires_at(answers_sent_until_);
+            co_await turn.async_wait(net::as_result);
+        }
+        const auto [error, written] =
+            co_await asio::async_write(socket, asio::buffer(text.data() + sent, part), net::as_result);
+        if (error)
+            co_return false;
+        sent += part;
+    }
+    co_return true;
+}
+
+std::size_t store_stand_in::answered_bytes(const std::string& table) const
+{
+    const auto found = answered_bytes_.find(table);
+    return found == answered_bytes_.end() ? 0 : found->second;
+}
+
 /** @returns the answer, or nothing when the connection ends without one. */
 asio::awaitable<std::optional<store_stand_in::answer>> store_stand_in::handle(const request& call)
 {
--- a/tests/platform/soak/store_stand_in.h
+++ b/tests/platform/soak/store_stand_in.h
@@ -38,6 +38,10 @@
     /** @returns whether a row exists. */
     [[nodiscard]] bool has(const std::string& table, const std::string& key) const;
     void on_write(write_hook hook) { on_write_ = std::move(hook); }
+    /** Limits the answers of all connections together. @param rate bytes per second, 0 for no limit. */
+    void set_answer_rate(std::size_t rate) { answer_rate_ = rate; }
+    /** @returns the bytes of all answers to calls about rows of a table. */
+    [[nodiscard]] std::size_t answered_bytes(const std::string& table) const;
 
 private:
     using request = boost::beast::http::request<boost::beast::http::string_body>;
@@ -70,6 +74,7 @@
     void apply(const nlohmann::json& transaction);
     net::asio::awaitable<void> write_again(row_name name, core::milliseconds after);
     net::asio::awaitable<void> apply_later(nlohmann::json transaction);
+    net::asio::awaitable<bool> write_answer(net::tcp::socket& socket, const std::string& text);
 
     net::asio::any_io_executor executor_;
     net::tcp::acceptor acceptor_;
@@ -81,6 +86,9 @@
     std::uint64_t history_begin_ = 0; ///< changes before it are forgotten
     store_fault fault_ = store_fault::none;
     write_hook on_write_;
+    std::size_t answer_rate_ = 0;
+    std::chrono::steady_clock::time_point answers_sent_until_; ///< when the path is free again
+    std::map<std::string, std::size_t> answered_bytes_;        ///< by table
 };
 
 } // namespace knapweed::soak
