Pass large configurations on between instances instead of having each read them from the store

Callers got answers as an older configuration says, more than 4 s after a newer one was confirmed.

Cause: a change that doesn't fit into a datagram was not broadcast. All instances saw in status messages that they were outdated and read the row from the store at the same moment; on a path that is narrow for that, calls ended after 0.5 s without a byte and were made again, into the same queue. Class: work at a shared place that grows with instances times size, all at the same moment.

Change: the reader of a region broadcasts what a version has in common with the one before (replication::make_delta, packed) if that fits into a datagram. Else the instances of the region take it from any instance that has it, chosen at random, as many at a time as an instance may send; each one that has it says so at once. Between regions only readers do that, so a region far from the store needn't wait for its own read. Values are checked by a hash; what can't be used is asked for as a whole; after 1.2 to 1.8 s an instance reads the store as before. The largest instance of a region reads the store, since it serves the others. Rows of a read that was overtaken are dropped. Weighed and left: pieces from several instances (27 kB for 1,400 routes need none), a tree (random choice needs no knowledge of who else lives).

Messages: field 5 of store_view, message 7 of peer_datagram, a call to the peers' address; earlier builds skip the first two and are never called.

--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "gateway/quarantine_log.h"
+#include "gateway/relay_fields.h"
 #include "gateway/server_log.h"
 #include "net/address.h"
 
@@ -48,21 +49,6 @@
         std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count())};
 }
 
-steering::steerer_options make_steerer_options(const gateway_settings& settings)
-{
-    steering::steerer_options options;
-    options.instance = settings.instance;
-    options.location = {settings.data_centre, settings.region};
-    options.capacity = settings.capacity;
-    options.largest_shift = settings.largest_shift;
-    options.cold_multiplier = settings.cold_multiplier;
-    options.cold_slack = settings.cold_slack;
-    options.retry_ratio = settings.retry_ratio;
-    options.retry_extra = settings.retry_extra;
-    options.seed = random_seed();
-    return options;
-}
-
 /** @returns the modification time of a file in nanoseconds since 1970, 0 when it can't be read. */
 std::int64_t modification_time(const std::string& file)
 {
@@ -79,7 +65,7 @@
     : settings_(std::move(settings)), settings_file_(std::move(settings_file)), dialect_(std::move(dialect)),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       log_({settings_.instance.str(), settings_.log_lines_per_second, 65536}, time_),
-      steerer_(make_steerer_options(settings_), time_),
+      steerer_(make_steerer_options(settings_, random_seed()), time_),
       connections_(io_.get_executor(), max_idle_time, metrics_, time_),
       relays_(settings_.instance, dialect_, time_),
       forwarder_{io_.get_executor(), time_, steerer_, connections_, dialect_, metrics_, log_, relays_},
@@ -206,6 +192,10 @@
 
 asio::awaitable<void> gateway::forward_relayed(std::shared_ptr<caller_exchange> exchange)
 {
+    if (on_copy_request_ && exchange->request().path() == copies_path) {
+        co_await on_copy_request_(std::move(exchange));
+        co_return;
+    }
     auto origin = take_relay_origin(exchange->request());
     const auto request =
         std::make_shared<forwarded_request>(forwarder_, std::move(exchange), std::move(origin));
--- a/source/gateway/gateway.h
+++ b/source/gateway/gateway.h
@@ -46,13 +46,25 @@
     {
         messenger_.on_table_change(std::move(callback));
     }
+    /** Sets a function that is called with each transfer of a table that another instance sends as a
+     * datagram. */
+    void on_transfer(std::function<void(const replication::table_transfer&)> callback)
+    {
+        messenger_.on_transfer(std::move(callback));
+    }
+    /** Sets a function that answers the calls of other instances for a copy of a table. */
+    void on_copy_request(session_context::handler handle) { on_copy_request_ = std::move(handle); }
     /** Sets a function that is called about every 100 ms. */
     void on_tick(std::function<void()> callback) { on_tick_ = std::move(callback); }
 
     /** Sends this instance's status to the other instances at once. */
     void send_status() { messenger_.send_status(); }
     /** @see peer_messenger::broadcast_change */
-    void broadcast_change(const steering::table_change& change) { messenger_.broadcast_change(change); }
+    void broadcast_change(const steering::table_change& change,
+                          const peer_messenger::transfer_source& as_transfer)
+    {
+        messenger_.broadcast_change(change, as_transfer);
+    }
 
     /** @returns the next status message to the other instances. */
     [[nodiscard]] steering::instance_status status();
@@ -110,6 +122,7 @@
     link_prober prober_;
     std::function<void()> on_leaving_;
     std::function<void()> on_tick_;
+    session_context::handler on_copy_request_;
     std::uint64_t ticks_ = 0;
     std::int64_t settings_modified_ = 0; ///< modification time of the settings file
     bool leaving_ = false;
--- a/source/gateway/gateway_settings.cpp
+++ b/source/gateway/gateway_settings.cpp
@@ -140,4 +140,19 @@
     return parse_gateway_settings(text.str());
 }
 
+steering::steerer_options make_steerer_options(const gateway_settings& settings, std::uint64_t seed)
+{
+    steering::steerer_options options;
+    options.instance = settings.instance;
+    options.location = {settings.data_centre, settings.region};
+    options.capacity = settings.capacity;
+    options.largest_shift = settings.largest_shift;
+    options.cold_multiplier = settings.cold_multiplier;
+    options.cold_slack = settings.cold_slack;
+    options.retry_ratio = settings.retry_ratio;
+    options.retry_extra = settings.retry_extra;
+    options.seed = seed;
+    return options;
+}
+
 } // namespace knapweed::gateway
--- a/source/gateway/gateway_settings.h
+++ b/source/gateway/gateway_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/core.h"
+#include "steering/steerer.h"
 
 #include <map>
 #include <string>
@@ -50,4 +51,8 @@
 /** Reads and parses a settings file. A file that can't be read gives an error in the result. */
 [[nodiscard]] settings_result read_gateway_settings(const std::string& file);
 
+/** @returns the options of the steering decisions. @param seed of what they draw at random. */
+[[nodiscard]] steering::steerer_options make_steerer_options(const gateway_settings& settings,
+                                                             std::uint64_t seed);
+
 } // namespace knapweed::gateway
--- a/source/gateway/peer_messenger.cpp
+++ b/source/gateway/peer_messenger.cpp
@@ -62,6 +62,9 @@
         steerer_.limits().receive(*limits, steerer_.fanout().is_hub());
     else if (const auto* leaving = std::get_if<std::vector<steering::leaving_report>>(&message))
         steerer_.notices().receive(*leaving, steerer_.fanout().is_hub());
+    else if (const auto* transfer = std::get_if<replication::table_transfer>(&message);
+             transfer && on_transfer_)
+        on_transfer_(*transfer);
 }
 
 /** An instance that has just started learns at once what this one knows of requests that end servers, of
@@ -88,11 +91,16 @@
     }
 }
 
-void peer_messenger::broadcast_change(const steering::table_change& change)
+void peer_messenger::broadcast_change(const steering::table_change& change,
+                                      const transfer_source& as_transfer)
 {
-    const auto datagram = encode_datagram(change);
     const auto addresses = steerer_.peers().peer_addresses_in(own_.region);
-    if (datagram.size() <= peer_link::max_datagram_bytes && !addresses.empty())
+    auto datagram = encode_datagram(change);
+    if (datagram.size() > peer_link::max_datagram_bytes) {
+        const auto transfer = as_transfer(change);
+        datagram = transfer ? encode_datagram(*transfer) : std::string();
+    }
+    if (!datagram.empty() && datagram.size() <= peer_link::max_datagram_bytes && !addresses.empty())
         link_.send(datagram, addresses);
     send_status();
 }
--- a/source/gateway/peer_messenger.h
+++ b/source/gateway/peer_messenger.h
@@ -22,6 +22,10 @@
 public:
     using status_source = std::function<steering::instance_status()>;
     using change_handler = std::function<void(const steering::table_change&)>;
+    using transfer_handler = std::function<void(const replication::table_transfer&)>;
+    /** Returns what describes a change in less bytes to those that have the version before, or nothing. */
+    using transfer_source =
+        std::function<std::optional<replication::table_transfer>(const steering::table_change&)>;
 
     /** @param steerer must outlive this object. @param status returns the next status message. */
     peer_messenger(const net::asio::any_io_executor& executor, peer_identity own, steering::steerer& steerer,
@@ -32,6 +36,8 @@
     /** Sets a function that is called with each change of the store that the reader of the region broadcasts.
      */
     void on_table_change(change_handler callback) { on_table_change_ = std::move(callback); }
+    /** Sets a function that is called with each transfer of a table. */
+    void on_transfer(transfer_handler callback) { on_transfer_ = std::move(callback); }
 
     /** @returns the number of this instance's next message. */
     [[nodiscard]] std::uint64_t next_sequence() noexcept { return ++sequence_; }
@@ -45,9 +51,9 @@
     /** Sends which servers are known to leave, if any, to the same instances. */
     void send_leaving_reports();
     /** Sends a change of the store to the instances of the region, and a status message with the version of
-        the change to all instances. A change that does not fit into a datagram is not sent: the other
-        instances read it from the store. */
-    void broadcast_change(const steering::table_change& change);
+        the change to all instances. A change that does not fit into a datagram, nor does a transfer of it, is
+       not sent: the other instances take it from those that have it. */
+    void broadcast_change(const steering::table_change& change, const transfer_source& as_transfer);
     /** Sends the number of requests at each server, at the intervals that the steerer chooses. */
     net::asio::awaitable<void> send_load_periodically();
 
@@ -65,6 +71,7 @@
     status_source status_;
     peer_link link_;
     change_handler on_table_change_;
+    transfer_handler on_transfer_;
     std::uint64_t sequence_ = 0;
     std::vector<steering::instance_load::entry> last_sent_load_; ///< the load in the last message sent
 };
--- a/source/gateway/status_codec.cpp
+++ b/source/gateway/status_codec.cpp
@@ -1,6 +1,7 @@
 #include "gateway/status_codec.h"
 
 #include "instance_status.pb.h"
+#include "replication/transfer_message.h"
 
 #include <algorithm>
 #include <cmath>
@@ -51,6 +52,7 @@
     store->set_reads(status.store.reads);
     store->set_reachable(status.store.reachable);
     store->set_era(status.store.era);
+    store->set_shares_copies(status.store.shares_copies);
     for (const auto version : status.store.newest_change)
         store->add_newest_change(version);
     if (!status.region_sum)
@@ -80,6 +82,7 @@
     status.store.reads = message.store().reads();
     status.store.reachable = message.store().reachable();
     status.store.era = message.store().era();
+    status.store.shares_copies = message.store().shares_copies();
     const auto table_count =
         std::min<std::size_t>(message.store().newest_change_size(), status.store.newest_change.size());
     for (std::size_t i = 0; i < table_count; ++i)
@@ -218,6 +221,13 @@
     return datagram.SerializeAsString();
 }
 
+std::string encode_datagram(const replication::table_transfer& transfer)
+{
+    wire::peer_datagram datagram;
+    replication::fill_message(*datagram.mutable_transfer(), transfer);
+    return datagram.SerializeAsString();
+}
+
 std::string encode_datagram(const std::vector<steering::crash_report>& reports)
 {
     wire::peer_datagram datagram;
@@ -280,6 +290,10 @@
         return from_message(parsed.limits());
     if (parsed.has_leaving())
         return from_message(parsed.leaving());
+    if (parsed.has_transfer()) {
+        auto transfer = replication::from_message(parsed.transfer());
+        return transfer ? peer_message(std::move(*transfer)) : peer_message();
+    }
     return {};
 }
 
--- a/source/gateway/status_codec.h
+++ b/source/gateway/status_codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "replication/table_transfer.h"
 #include "steering/crash_evidence.h"
 #include "steering/peer_loads.h"
 #include "steering/peer_table.h"
@@ -22,14 +23,16 @@
 [[nodiscard]] std::optional<steering::instance_status> decode_status(std::string_view message);
 
 /** Decoded content of a datagram from another instance; `std::monostate` when it is invalid. */
-using peer_message = std::variant<std::monostate, steering::instance_status, steering::instance_load,
-                                  steering::table_change, std::vector<steering::crash_report>,
-                                  std::vector<steering::limit_report>, std::vector<steering::leaving_report>>;
+using peer_message =
+    std::variant<std::monostate, steering::instance_status, steering::instance_load, steering::table_change,
+                 std::vector<steering::crash_report>, std::vector<steering::limit_report>,
+                 std::vector<steering::leaving_report>, replication::table_transfer>;
 
 /** @returns a serialised datagram with one message. */
 [[nodiscard]] std::string encode_datagram(const steering::instance_status& status);
 [[nodiscard]] std::string encode_datagram(const steering::instance_load& load);
 [[nodiscard]] std::string encode_datagram(const steering::table_change& change);
+[[nodiscard]] std::string encode_datagram(const replication::table_transfer& transfer);
 [[nodiscard]] std::string encode_datagram(const std::vector<steering::crash_report>& reports);
 [[nodiscard]] std::string encode_datagram(const std::vector<steering::limit_report>& reports);
 [[nodiscard]] std::string encode_datagram(const std::vector<steering::leaving_report>& reports);
--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -47,7 +47,8 @@
 steerer::steerer(steerer_options options, const core::clock& time)
     : options_(std::move(options)), time_(time), random_(options_.seed), servers_(time),
       peers_(options_.instance, options_.location.region, time), peer_loads_(servers_, time),
-      store_role_(options_.instance, options_.location.region, peers_, time),
+      store_role_(options_.instance, options_.location.region, peers_, time, options_.capacity),
+      copy_sources_(options_.location.region, peers_, store_role_, time, options_.seed),
       fanout_(options_.instance, options_.location.region, options_.capacity, peers_, time),
       cold_senders_(options_.instance, options_.location.region, peers_, time), distances_(options_.location),
       relay_(options_.location, options_.capacity, servers_, peers_, time, options_.seed),
--- a/source/steering/steerer.h
+++ b/source/steering/steerer.h
@@ -2,6 +2,7 @@
 
 #include "steering/answer_estimates.h"
 #include "steering/cold_sender_selector.h"
+#include "steering/copy_source_selector.h"
 #include "steering/peer_fanout.h"
 #include "steering/peer_loads.h"
 #include "steering/peer_table.h"
@@ -67,6 +68,7 @@
     [[nodiscard]] peer_table& peers() noexcept { return peers_; }
     [[nodiscard]] peer_loads& loads_of_peers() noexcept { return peer_loads_; }
     [[nodiscard]] store_reader_role& store_role() noexcept { return store_role_; }
+    [[nodiscard]] copy_source_selector& copy_sources() noexcept { return copy_sources_; }
     [[nodiscard]] const peer_fanout& fanout() const noexcept { return fanout_; }
     /** @returns the number of this instance's requests in progress at each backend server, sorted by the hash
      * of the server's id. */
@@ -126,6 +128,7 @@
     peer_table peers_;
     peer_loads peer_loads_;
     store_reader_role store_role_;
+    copy_source_selector copy_sources_;
     peer_fanout fanout_;
     cold_sender_selector cold_senders_;
     distance_table distances_;
--- a/source/steering/store_reader_role.cpp
+++ b/source/steering/store_reader_role.cpp
@@ -1,6 +1,7 @@
 #include "steering/store_reader_role.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace knapweed::steering {
 
@@ -23,28 +24,44 @@
 constexpr unsigned max_failures_while_valid = 1;
 
 /** @returns the position of an instance in the order of readers; the lowest in a region is the reader.
-   Instances that the store answers come first. */
-std::pair<bool, std::uint64_t> reader_rank(const core::instance_id& instance, bool store_answers)
+   Instances that the store answers come first, then larger ones, since the others take large changes from the
+   reader.
+   @param capacity 0 for instances that are ordered without regard to it. */
+std::tuple<bool, double, std::uint64_t> reader_rank(const core::instance_id& instance, bool store_answers,
+                                                    double capacity)
 {
-    return {!store_answers, core::hash_text(instance.str())};
+    return {!store_answers, -capacity, core::hash_text(instance.str())};
 }
 
 } // namespace
 
 store_reader_role::store_reader_role(core::instance_id own, core::region_id region, const peer_table& peers,
-                                     const core::clock& time)
-    : own_(std::move(own)), region_(std::move(region)), peers_(peers), time_(time)
+                                     const core::clock& time, double capacity)
+    : own_(std::move(own)), region_(std::move(region)), peers_(peers), time_(time), capacity_(capacity)
 {}
 
+bool store_reader_role::region_shares_copies() const
+{
+    bool all_share = true;
+    peers_.visit_live(peer_table::live_timeout, [this, &all_share](const instance_status& status) {
+        if (status.location.region == region_ && !status.leaving)
+            all_share = all_share && status.store.shares_copies;
+    });
+    return all_share;
+}
+
 bool store_reader_role::is_reader() const
 {
     if (leaving_)
         return false;
-    const auto own_rank = reader_rank(own_, store_answers());
+    // Instances of a build that doesn't share copies order the readers without regard to their capacity.
+    const bool by_capacity = region_shares_copies();
+    const auto own_rank = reader_rank(own_, store_answers(), by_capacity ? capacity_ : 0);
     std::size_t lower_ranked = 0;
     peers_.visit_live(peer_table::live_timeout, [&](const instance_status& status) {
         if (status.location.region == region_ && !status.leaving && is_comparable(status) &&
-            reader_rank(status.instance, status.store.reachable) < own_rank)
+            reader_rank(status.instance, status.store.reachable, by_capacity ? status.capacity : 0) <
+                own_rank)
             ++lower_ranked;
     });
     return lower_ranked < readers_per_region;
@@ -187,6 +204,7 @@
     view.reads = is_reader();
     view.reachable = store_answers();
     view.era = era_;
+    view.shares_copies = true;
     for (const auto table : {replicated_table::operators, replicated_table::servers})
         view.newest_change.at(index_of(table)) = newest_change(table);
     return view;
--- a/source/steering/store_reader_role.h
+++ b/source/steering/store_reader_role.h
@@ -24,9 +24,9 @@
 */
 class store_reader_role {
 public:
-    /** @param peers and @p time must outlive this object. */
+    /** @param peers and @p time must outlive this object. @param capacity cores that the instance may use. */
     store_reader_role(core::instance_id own, core::region_id region, const peer_table& peers,
-                      const core::clock& time);
+                      const core::clock& time, double capacity = 1);
 
     /** @returns whether this instance is the reader of its region. */
     [[nodiscard]] bool is_reader() const;
@@ -34,6 +34,11 @@
     [[nodiscard]] bool must_follow_store() const { return is_reader() || !has_reader(); }
     /** @returns whether another instance has a change that this instance has not received. */
     [[nodiscard]] bool is_outdated(replicated_table table) const;
+    /** @returns the newest change of a table that another instance is known to have. */
+    [[nodiscard]] store_position newest_of_peers(replicated_table table) const
+    {
+        return copies_.at(index_of(table)).newest_of_peers;
+    }
     /** @returns how long this instance has known that another one has a change that it has not received; 0
      * when no other has one. */
     [[nodiscard]] core::duration outdated_for(replicated_table table) const;
@@ -96,6 +101,8 @@
     {
         return era_ == 0 || status.store.era != 0;
     }
+    /** @returns whether all other live instances of the region share copies. */
+    [[nodiscard]] bool region_shares_copies() const;
     /** @returns whether the store answers this instance, a single failure aside. */
     [[nodiscard]] bool store_answers() const;
 
@@ -103,6 +110,7 @@
     core::region_id region_;
     const peer_table& peers_;
     const core::clock& time_;
+    double capacity_;
     std::array<table_copy, number_of_replicated_tables> copies_;
     std::uint64_t era_ = 0;
     bool calls_answered_ = false;
--- a/source/steering/table_change.h
+++ b/source/steering/table_change.h
@@ -53,7 +53,8 @@
     bool reachable = false; ///< the store answered its last call
     std::uint64_t era = 0;  ///< of the versions; 0 also in the messages of a build that doesn't know eras
     std::array<std::uint64_t, number_of_replicated_tables>
-        newest_change{}; ///< versions, by `index_of` the table; 0 without a copy of this era
+        newest_change{};        ///< versions, by `index_of` the table; 0 without a copy of this era
+    bool shares_copies = false; ///< others can take the operators' table from the instance
 };
 
 } // namespace knapweed::steering
--- a/tests/gateway/parts_test.cpp
+++ b/tests/gateway/parts_test.cpp
@@ -100,7 +100,7 @@
     status.sequence = 6;
     status.ready = true;
     status.demand[core::service_id{"orders"}] = 12.5;
-    status.store = {true, true, 3, {7, 9}};
+    status.store = {true, true, 3, {7, 9}, true};
     const auto read_status = std::get<steering::instance_status>(decode_datagram(encode_datagram(status)));
     REQUIRE(read_status.instance == status.instance);
     REQUIRE(read_status.demand == status.demand);
@@ -108,6 +108,7 @@
     REQUIRE(read_status.store.reads);
     REQUIRE(read_status.store.era == 3);
     REQUIRE(read_status.store.newest_change == status.store.newest_change);
+    REQUIRE(read_status.store.shares_copies);
     REQUIRE(decode_status(encode_status(status))->sequence == 6);
 
     // A message without the field, such as one of an older build, states that the servers are reached.
@@ -133,6 +134,25 @@
     REQUIRE(read_change.rows.size() == 2);
     REQUIRE(read_change.rows.front().removed);
     REQUIRE(read_change.rows.back().value == "value");
+    const replication::table_transfer transfer{steering::replicated_table::operators,
+                                               true,
+                                               4,
+                                               8,
+                                               9,
+                                               3,
+                                               {{"k", 8, replication::row_form::delta, 5, 70, 77, "p"}}};
+    const auto read_transfer =
+        std::get<replication::table_transfer>(decode_datagram(encode_datagram(transfer)));
+    REQUIRE(read_transfer.complete);
+    REQUIRE(read_transfer.follows == 4);
+    REQUIRE(read_transfer.newest == 8);
+    REQUIRE(read_transfer.version == 9);
+    REQUIRE(read_transfer.era == 3);
+    REQUIRE(read_transfer.rows.front().form == replication::row_form::delta);
+    REQUIRE(read_transfer.rows.front().base_version == 5);
+    REQUIRE(read_transfer.rows.front().size == 70);
+    REQUIRE(read_transfer.rows.front().hash == 77);
+    REQUIRE(read_transfer.rows.front().packed == "p");
     const std::vector<steering::crash_report> reports{
         {{5}, {{7, core::milliseconds(900), core::milliseconds(800)}}, {}, true},
         {{6}, {}, core::milliseconds(40), false}};
