--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -1,7 +1,7 @@
 #include "gateway/gateway.h"
 
+#include "gateway/peer_calls.h"
 #include "gateway/quarantine_log.h"
-#include "gateway/relay_fields.h"
 #include "gateway/server_log.h"
 #include "net/address.h"
 
--- a/source/gateway/relay_fields.h
+++ b/source/gateway/relay_fields.h
@@ -13,7 +13,4 @@
 /** Field of each answer that an instance itself generates: the reason. */
 inline constexpr std::string_view reason_field = "Knapweed-Reason";
 
-/** Path of the calls by which an instance takes a copy of the operators' table from another one. */
-inline constexpr std::string_view copies_path = "/copies/operators";
-
 } // namespace knapweed::gateway
--- a/source/gateway/table_sharing.cpp
+++ b/source/gateway/table_sharing.cpp
@@ -1,6 +1,6 @@
 #include "gateway/table_sharing.h"
 
-#include "gateway/relay_fields.h"
+#include "gateway/peer_calls.h"
 #include "net/parse_number.h"
 
 #include <random>
