--- a/review/stand_ins/common.cc
+++ b/review/stand_ins/common.cc
@@ -13,6 +13,7 @@
 #include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
 #include <poll.h>
+#include <random>
 #include <set>
 #include <spawn.h>
 #include <sstream>
@@ -298,12 +299,20 @@
 
 std::string free_address()
 {
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const auto any_port = parse("127.0.0.1:0");
-    ::bind(descriptor, reinterpret_cast<const sockaddr*>(&any_port), sizeof any_port);
-    auto address = name_of(descriptor);
-    ::close(descriptor);
-    return address;
+    // Below the ports that the system gives to outgoing connections, which could take one before it is used.
+    static std::mt19937 random(std::random_device{}());
+    static std::set<int> given;
+    std::uniform_int_distribution<int> ports(10000, 32000);
+    for (;;) {
+        const int port = ports(random);
+        const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const auto address = parse("127.0.0.1:" + std::to_string(port));
+        const bool is_free =
+            ::bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+        ::close(descriptor);
+        if (is_free && given.insert(port).second)
+            return "127.0.0.1:" + std::to_string(port);
+    }
 }
 
 store::store() : listener_([this](connection& caller) { serve(caller); }) {}
