Review: keep only cases as folders

Cause: the folders of the stand-ins and of the built drivers were taken for cases. Change: the stand-ins are files of review/, and build.sh puts each driver into the folder of its case.

--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,6 +1,6 @@
 /** Orders that must not run twice are sent to an instance between 3.0 and 3.5 s after its SIGTERM, on new
    connections. It accepts them and passes them on, but exits before their servers answer. */
-#include "../stand_ins/common.hh"
+#include "../stand_ins.hh"
 
 #include <atomic>
 #include <csignal>
--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -1,6 +1,6 @@
 /** Callers that send further requests before earlier ones are answered keep their connections to an instance
    that got a SIGTERM. Its answers never close these connections, and it exits with requests unanswered. */
-#include "../stand_ins/common.hh"
+#include "../stand_ins.hh"
 
 #include <atomic>
 #include <csignal>
--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,7 +1,7 @@
 /** During a planned stop, the last answer of a connection announces that it closes the connection. A request
    that its caller has sent before it can know that is read and passed on to a server, and then dropped
    without an answer. */
-#include "../stand_ins/common.hh"
+#include "../stand_ins.hh"
 
 #include <atomic>
 #include <csignal>
--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -4,13 +4,13 @@
 set -uo pipefail
 review=$(cd "$(dirname "$0")" && pwd)
 cd "$review/.." || exit 2
-if [ ! -x target/knapweed-gateway ] || [ ! -x "review/build/case-$1" ]; then
+if [ ! -x target/knapweed-gateway ] || [ ! -x "review/$1/driver" ]; then
     echo "build the program as in deploy/system.toml, and then review/build.sh"
     exit 2
 fi
 scratch=$(mktemp -d) || exit 2
 trap 'rm -rf "$scratch"' EXIT
-timeout --kill-after=5 110 "review/build/case-$1" "review/$1" "$scratch"
+timeout --kill-after=5 110 "review/$1/driver" "review/$1" "$scratch"
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
--- a/review/stand_ins/common.cc
+++ b/review/stand_ins.cc
@@ -1,4 +1,4 @@
-#include "common.hh"
+#include "stand_ins.hh"
 
 #include <algorithm>
 #include <arpa/inet.h>
