--- a/review/stand_ins.cc
+++ b/review/stand_ins.cc
@@ -301,17 +301,19 @@
 {
     // Below the ports that the system gives to outgoing connections, which could take one before it is used.
     static std::mt19937 random(std::random_device{}());
-    static std::set<int> given;
     std::uniform_int_distribution<int> ports(10000, 32000);
     for (;;) {
         const int port = ports(random);
-        const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const int holder = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const auto address = parse("127.0.0.1:" + std::to_string(port));
-        const bool is_free =
-            ::bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
-        ::close(descriptor);
-        if (is_free && given.insert(port).second)
+        if (::bind(holder, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0) {
+            // The port stays taken until the case ends. The option is set after the bind, which so fails if
+            // anybody else has the port; the gateway, which sets it as well, can listen there.
+            const int on = 1;
+            ::setsockopt(holder, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
             return "127.0.0.1:" + std::to_string(port);
+        }
+        ::close(holder);
     }
 }
 
@@ -690,7 +692,7 @@
     const auto limit = clock::now() + time;
     while (clock::now() < limit) {
         if (!running())
-            return false;
+            break;
         if (const auto probe = connection::open(readiness())) {
             const auto answer = probe->send("GET /ready HTTP/1.1\r\nHost: " + readiness() + "\r\n\r\n")
                                     ? probe->read(clock::now() + milliseconds(500))
@@ -700,6 +702,11 @@
         }
         std::this_thread::sleep_for(milliseconds(50));
     }
+    std::ifstream log(directory_ + "/" + name_ + ".log");
+    for (std::string line; std::getline(log, line);) {
+        if (!line.starts_with("{"))
+            record_.add("output", line);
+    }
     return false;
 }
 
