--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -69,6 +69,7 @@
       connections_(io_.get_executor(), max_idle_time, metrics_, time_),
       relays_(settings_.instance, dialect_, time_),
       forwarder_{io_.get_executor(), time_, steerer_, connections_, dialect_, metrics_, log_, relays_},
+      pages_(settings_, dialect_, steerer_, metrics_, log_, [this] { return ready(); }),
       callers_(io_.get_executor(),
                make_context([this](auto exchange) { return forward(std::move(exchange)); }),
                max_caller_sessions),
@@ -77,13 +78,14 @@
                             relay_header_bytes),
                max_auxiliary_sessions),
       readiness_(io_.get_executor(),
-                 make_context([this](auto exchange) { return answer_readiness(std::move(exchange)); }),
+                 make_context([this](auto exchange) { return pages_.answer_readiness(std::move(exchange)); }),
                  max_auxiliary_sessions),
       lookups_(io_.get_executor(),
-               make_context([this](auto exchange) { return answer_lookup(std::move(exchange)); }),
+               make_context([this](auto exchange) { return pages_.answer_lookup(std::move(exchange)); }),
                max_auxiliary_sessions),
-      metrics_listener_(io_.get_executor(),
-                        make_context([this](auto exchange) { return answer_metrics(std::move(exchange)); }),
+      metrics_listener_(io_.get_executor(), make_context([this](auto exchange) {
+                            return pages_.answer_metrics(std::move(exchange));
+                        }),
                         max_auxiliary_sessions),
       incarnation_(make_incarnation()),
       messenger_(
@@ -202,59 +204,6 @@
     co_await request->run();
 }
 
-asio::awaitable<void> gateway::answer_readiness(std::shared_ptr<caller_exchange> exchange)
-{
-    answer_head head;
-    const bool is_ready = ready() && exchange->request().path() == dialect_.readiness_path;
-    head.status = is_ready ? 200 : 503;
-    head.reason = is_ready ? "OK" : "Not ready";
-    co_await exchange->answer(head, {});
-}
-
-std::vector<lookup_entry> gateway::lookup_entries()
-{
-    std::vector<lookup_entry> entries;
-    entries.push_back({{settings_.caller_address, settings_.data_centre, settings_.capacity, ready()},
-                       !steerer_.links().is_cut()});
-    steerer_.peers().visit([this, &entries](const steering::instance_status& status, bool live) {
-        if (status.location.region != settings_.region)
-            return;
-        entries.push_back({{status.caller_address, status.location.data_centre, status.capacity,
-                            live && status.ready && !status.leaving},
-                           status.reaches_servers});
-    });
-    return entries;
-}
-
-asio::awaitable<void> gateway::answer_lookup(std::shared_ptr<caller_exchange> exchange)
-{
-    answer_head head;
-    std::string body;
-    if (exchange->request().path() != dialect_.lookup_path) {
-        head = {404, "Not found", "", {}};
-        co_await exchange->answer(head, {});
-        co_return;
-    }
-    const auto addresses = choose_lookup_addresses(settings_.data_centre, lookup_entries());
-    if (addresses.empty()) {
-        head = {503, "No instance", "", {}};
-    }
-    else {
-        head = {200, "OK", "Content-Type: application/json\r\n", {}};
-        body = dialect_.write_lookup_answer(addresses, settings_.lookup_ttl);
-    }
-    co_await exchange->answer(head, body);
-}
-
-asio::awaitable<void> gateway::answer_metrics(std::shared_ptr<caller_exchange> exchange)
-{
-    metrics_.set_log_lines_dropped(log_.dropped());
-    metrics_.set_quarantined_requests(steerer_.quarantine().quarantined());
-    const answer_head head{200, "OK", "Content-Type: text/plain; version=0.0.4\r\n", {}};
-    const auto text = metrics_.text();
-    co_await exchange->answer(head, text);
-}
-
 steering::instance_status gateway::status()
 {
     steering::instance_status status;
--- a/source/gateway/gateway.h
+++ b/source/gateway/gateway.h
@@ -8,8 +8,8 @@
 #include "gateway/forwarded_request.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/link_prober.h"
-#include "gateway/lookup_addresses.h"
 #include "gateway/peer_messenger.h"
+#include "gateway/status_pages.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -86,10 +86,6 @@
                                                                 std::size_t added_header_bytes = 0);
     net::asio::awaitable<void> forward(std::shared_ptr<caller_exchange> exchange);
     net::asio::awaitable<void> forward_relayed(std::shared_ptr<caller_exchange> exchange);
-    net::asio::awaitable<void> answer_readiness(std::shared_ptr<caller_exchange> exchange);
-    [[nodiscard]] std::vector<lookup_entry> lookup_entries();
-    net::asio::awaitable<void> answer_lookup(std::shared_ptr<caller_exchange> exchange);
-    net::asio::awaitable<void> answer_metrics(std::shared_ptr<caller_exchange> exchange);
     net::asio::awaitable<void> run_ticks();
     net::asio::awaitable<void> complete_shutdown();
     void wait_for_signal();
@@ -112,6 +108,7 @@
     net::connection_pool connections_;
     relay_sender relays_; ///< sends requests to other instances
     forwarder_context forwarder_;
+    status_pages pages_;
     caller_listener callers_;
     caller_listener relayed_; ///< requests that other instances relay
     caller_listener readiness_;
--- a/source/steering/request_plan.h
+++ b/source/steering/request_plan.h
@@ -114,6 +114,13 @@
     /** Set for a request that another instance relays: the number of servers to which it may be sent. */
     std::optional<unsigned> relayed_sends;
     std::vector<relay_record> relays;
+
+    /** @returns the policy of the chosen service, or null when the configuration has none. */
+    [[nodiscard]] const service_policy* policy_of_service() const
+    {
+        const auto found = policy->services.find(service);
+        return found == policy->services.end() ? nullptr : &found->second;
+    }
 };
 
 /** The gateway sends the request to the server and reports the result. */
