Refuse what may outlast a planned stop, instead of cutting it at the exit

Cause: accepting and exiting were two timers; nothing compared a request's time limit with the time left. Change: graceful_shutdown has the clock of the stop and decides for the process: accept, by when answers are due, exit. Requests of other instances follow the same rule. The grace period counts from the first signal; short ones aren't skipped any more. Conclusion: what is taken can't be cut; a refusal costs callers one more connection.

--- a/source/gateway/caller_listener.h
+++ b/source/gateway/caller_listener.h
@@ -17,9 +17,6 @@
 
     /** Enforces the time limits of all sessions; to be called several times a second. */
     void tick();
-    /** Begins a graceful shutdown: answers close their connections, but new connections are still accepted.
-     */
-    void leave() { context_->leaving = true; }
     /** Stops accepting connections, after those that are already established, and ends those on which no
        request is in progress or has arrived. */
     void stop_accepting();
--- a/source/gateway/caller_session.cpp
+++ b/source/gateway/caller_session.cpp
@@ -242,7 +242,7 @@
 bool caller_session::stays_open_after(const caller_exchange& exchange) const
 {
     const bool last = exchanges_.size() == 1;
-    return exchange.request().keep_alive && !(context_->leaving && last);
+    return exchange.request().keep_alive && !(context_->shutdown.begun() && last);
 }
 
 asio::awaitable<bool> caller_session::write(std::string_view head, std::string_view body)
--- a/source/gateway/caller_session.h
+++ b/source/gateway/caller_session.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/caller_exchange.h"
+#include "gateway/graceful_shutdown.h"
 #include "net/lasting_task.h"
 #include "net/metrics.h"
 #include "steering/traffic_policy.h"
@@ -15,10 +16,10 @@
 
     const core::clock& time;
     net::counter_sink& counters;
+    const graceful_shutdown& shutdown;               ///< of the process
     std::function<steering::caller_limits()> limits; ///< returns the limits currently in force
     handler handle;                                  ///< answers each request
     net::error_hook on_error; ///< called with each unexpected error, which ends only its connection
-    bool leaving = false;     ///< a graceful shutdown has begun: answers close their connections
     std::size_t sessions = 0; ///< open connections
 };
 
--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -77,6 +77,7 @@
         facts.time_limit = core::milliseconds(*limit);
     if (origin_)
         facts.relayed_sends = origin_->max_sends;
+    facts.answers_due = context_.shutdown.answers_due();
     return facts;
 }
 
--- a/source/gateway/forwarded_request.h
+++ b/source/gateway/forwarded_request.h
@@ -2,6 +2,7 @@
 
 #include "gateway/event_log.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/graceful_shutdown.h"
 #include "gateway/relay_origin.h"
 #include "gateway/relay_sender.h"
 #include "steering/steerer.h"
@@ -18,6 +19,7 @@
     gateway_metrics& metrics;
     event_log& log;
     const relay_sender& relays;
+    const graceful_shutdown& shutdown;
     std::size_t in_progress = 0;         ///< requests that are being forwarded now
     std::size_t relayed_in_progress = 0; ///< those among them that other instances relayed and that may run
 };
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -30,10 +30,6 @@
 constexpr std::size_t relay_header_bytes = 512;
 /** Idle connections to servers are closed after this time unless the server specifies another. */
 constexpr core::milliseconds max_idle_time{4000};
-/** New connections are refused from this long before the end of the grace period. */
-constexpr core::milliseconds stop_accepting_before_end{2500};
-/** The process exits this long before the end of the grace period, when the platform would kill it. */
-constexpr core::milliseconds exit_before_grace_end{400};
 constexpr core::milliseconds shutdown_poll_interval{20};
 
 std::uint64_t random_seed()
@@ -68,7 +64,8 @@
       steerer_(make_steerer_options(settings_, random_seed()), time_),
       connections_(io_.get_executor(), max_idle_time, metrics_, time_),
       relays_(settings_.instance, dialect_, time_),
-      forwarder_{io_.get_executor(), time_, steerer_, connections_, dialect_, metrics_, log_, relays_},
+      shutdown_(time_), forwarder_{io_.get_executor(), time_, steerer_, connections_, dialect_,
+                                   metrics_,           log_,  relays_,  shutdown_},
       pages_(settings_, dialect_, steerer_, metrics_, log_, [this] { return ready(); }),
       callers_(io_.get_executor(),
                make_context([this](auto exchange) { return forward(std::move(exchange)); }),
@@ -113,7 +110,7 @@
         return result;
     };
     return std::make_shared<session_context>(
-        session_context{time_, metrics_, std::move(limits), std::move(handle),
+        session_context{time_, metrics_, shutdown_, std::move(limits), std::move(handle),
                         [this](std::string_view error) { report_error(error); }});
 }
 
@@ -183,7 +180,7 @@
 
 bool gateway::ready() const
 {
-    return !leaving_ && steerer_.policy() != nullptr;
+    return !shutdown_.begun() && steerer_.policy() != nullptr;
 }
 
 asio::awaitable<void> gateway::forward(std::shared_ptr<caller_exchange> exchange)
@@ -214,7 +211,7 @@
     status.incarnation = incarnation_;
     status.sequence = messenger_.next_sequence();
     status.ready = ready();
-    status.leaving = leaving_;
+    status.leaving = shutdown_.begun();
     status.reaches_servers = !steerer_.links().is_cut();
     status.capacity = settings_.capacity;
     status.demand = steerer_.demand();
@@ -298,11 +295,10 @@
 
 void gateway::leave()
 {
-    if (std::exchange(leaving_, true))
+    if (shutdown_.begun())
         return;
+    shutdown_.begin(settings_.grace_period);
     log_.info(json_line("leaving").add("requests_in_progress", forwarder_.in_progress));
-    callers_.leave();
-    relayed_.leave();
     steerer_.store_role().leave();
     messenger_.send_status();
     if (on_leaving_)
@@ -310,19 +306,20 @@
     start_lasting([this] { return complete_shutdown(); });
 }
 
-/** Accepts connections for most of the grace period, for callers that still hold this instance's address from
-   an earlier look-up. */
 asio::awaitable<void> gateway::complete_shutdown()
 {
-    const auto exit_time = time_.now() + settings_.grace_period - exit_before_grace_end;
-    asio::steady_timer timer(io_, settings_.grace_period - stop_accepting_before_end);
-    co_await timer.async_wait(net::as_result);
-    callers_.stop_accepting();
-    relayed_.stop_accepting();
-    while (time_.now() < exit_time &&
-           (forwarder_.in_progress > 0 || callers_.sessions() > 0 || relayed_.sessions() > 0)) {
-        callers_.close_idle_sessions();
-        relayed_.close_idle_sessions();
+    asio::steady_timer timer(io_);
+    bool accepting = true;
+    while (!shutdown_.is_complete(forwarder_.in_progress + callers_.sessions() + relayed_.sessions())) {
+        if (!shutdown_.accepts_connections()) {
+            const bool was_accepting = std::exchange(accepting, false);
+            for (auto* listener : {&callers_, &relayed_}) {
+                if (was_accepting)
+                    listener->stop_accepting();
+                else
+                    listener->close_idle_sessions();
+            }
+        }
         timer.expires_after(shutdown_poll_interval);
         co_await timer.async_wait(net::as_result);
     }
--- a/source/gateway/gateway.h
+++ b/source/gateway/gateway.h
@@ -107,6 +107,7 @@
     steering::steerer steerer_;
     net::connection_pool connections_;
     relay_sender relays_; ///< sends requests to other instances
+    graceful_shutdown shutdown_;
     forwarder_context forwarder_;
     status_pages pages_;
     caller_listener callers_;
@@ -122,7 +123,6 @@
     session_context::handler on_copy_request_;
     std::uint64_t ticks_ = 0;
     std::int64_t settings_modified_ = 0; ///< modification time of the settings file
-    bool leaving_ = false;
 };
 
 } // namespace knapweed::gateway
--- a/source/steering/request_plan.h
+++ b/source/steering/request_plan.h
@@ -93,6 +93,8 @@
     std::optional<unsigned> relayed_sends{};
     /** Its texts must outlive the request's plan. A request without a target is not recognised again. */
     request_identity identity{};
+    /** Time by which a stopping instance must have answered all of its requests. */
+    std::optional<core::time_point> answers_due{};
 };
 
 /** State of one request from its arrival to its final answer; filled in by the steerer. */
--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -85,6 +85,9 @@
     plan.answer_by =
         facts.received + std::min(plan.matched->timeout, facts.time_limit.value_or(plan.matched->timeout));
     plan.relayed_sends = facts.relayed_sends;
+    // A request that might have to be cut at the exit is served better by another instance.
+    if (facts.answers_due && plan.answer_by > *facts.answers_due)
+        return refuse_step{core::refusal_reason::leaving, retry_after_at_other_instance};
     if (quarantine_.refuses(plan))
         return refuse_or_fail(plan, core::refusal_reason::quarantined, retry_after_quarantine);
     if (relay_.links().is_cut()) {
--- a/tests/gateway/forwarding_fixture.cpp
+++ b/tests/gateway/forwarding_fixture.cpp
@@ -55,7 +55,8 @@
                time_),
       connections_(io_.get_executor(), std::chrono::seconds(4), metrics_, time_),
       relays_(core::instance_id{"i"}, dialect_, time_),
-      context_{io_.get_executor(), time_, steerer_, connections_, dialect_, metrics_, log_, relays_},
+      context_{io_.get_executor(), time_, steerer_, connections_, dialect_,
+               metrics_,           log_,  relays_,  shutdown_},
       listener_(io_.get_executor(),
                 make_context([this](auto exchange) { return forward(std::move(exchange)); }), 64),
       relayed_(io_.get_executor(),
@@ -104,16 +105,19 @@
 forwarding_fixture::make_context(gateway::session_context::handler handle)
 {
     return std::make_shared<gateway::session_context>(
-        gateway::session_context{time_, metrics_, [this] { return steerer_.policy()->limits; },
+        gateway::session_context{time_, metrics_, shutdown_, [this] { return steerer_.policy()->limits; },
                                  std::move(handle), [](std::string_view) {}});
 }
 
+void forwarding_fixture::begin_shutdown(core::milliseconds grace_period)
+{
+    run_on_gateway_thread([this, grace_period] { shutdown_.begin(grace_period); });
+}
+
 void forwarding_fixture::stop_relayed()
 {
-    run_on_gateway_thread([this] {
-        relayed_.leave();
-        relayed_.stop_accepting();
-    });
+    begin_shutdown();
+    run_on_gateway_thread([this] { relayed_.stop_accepting(); });
 }
 
 void forwarding_fixture::run_on_gateway_thread(const std::function<void()>& action)
--- a/tests/gateway/forwarding_fixture.h
+++ b/tests/gateway/forwarding_fixture.h
@@ -48,7 +48,10 @@
     [[nodiscard]] std::uint16_t relay_port() const { return relayed_.port(); }
     /** @returns the number of requests of other instances that are accepted at the same time. */
     [[nodiscard]] std::size_t max_relayed() const { return steerer_.max_relayed_requests(); }
-    /** Begins the planned stop of the listener for relayed requests. */
+    /** Begins a graceful shutdown. By default, the grace period is longer than the time limits of requests.
+     */
+    void begin_shutdown(core::milliseconds grace_period = core::milliseconds(60000));
+    /** Begins a graceful shutdown in which relayed requests are not accepted any more. */
     void stop_relayed();
     [[nodiscard]] upstream_fake& server(std::size_t index) { return *servers_.at(index); }
     [[nodiscard]] std::size_t requests_at_servers() const;
@@ -73,6 +76,7 @@
     steering::steerer steerer_;
     net::connection_pool connections_;
     gateway::relay_sender relays_;
+    gateway::graceful_shutdown shutdown_{time_};
     gateway::forwarder_context context_;
     gateway::caller_listener listener_;
     gateway::caller_listener relayed_;
--- a/tests/gateway/planned_stop_test.cpp
+++ b/tests/gateway/planned_stop_test.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr core::milliseconds grace_period{6000};
+
 const std::string request_head = "GET /orders/1 HTTP/1.1\r\nHost: shop.example\r\n";
 
 /** A listener whose tasks run only when the test says so. */
@@ -20,7 +22,7 @@
 public:
     stopped_listener()
         : context(std::make_shared<session_context>(
-              session_context{time, metrics, [] { return steering::caller_limits{}; },
+              session_context{time, metrics, shutdown, [] { return steering::caller_limits{}; },
                               [](auto exchange) { return answer(std::move(exchange)); },
                               [this](std::string_view error) { errors.emplace_back(error); }})),
           listener(io.get_executor(), context, 64)
@@ -45,13 +47,14 @@
      */
     void stop_and_run()
     {
-        listener.leave();
+        shutdown.begin(grace_period);
         listener.stop_accepting();
         thread = std::thread([this] { io.run(); });
     }
 
     boost::asio::io_context io{1};
     core::boot_clock time;
+    graceful_shutdown shutdown{time};
     gateway_metrics metrics;
     std::vector<std::string> errors;
     std::shared_ptr<session_context> context;
