Close connections with several open requests in a planned stop

Cause: an answer closed its connection only if no request had been read behind it. Change: connection_lifetime decides for a connection which requests are taken and which answer closes it. In a planned stop none is taken while an answer that can still announce the close is due. Tests: shutdown_forwarding_test.cpp, 'a planned stop closes a connection whose caller ...' fails without the rule (the third request reaches the server, and the last answer doesn't close). Conclusion: connections end with the last answer that is due, however busy their callers are.

--- a/source/gateway/caller_exchange.cpp
+++ b/source/gateway/caller_exchange.cpp
@@ -120,7 +120,7 @@
 {
     if (!co_await wait_for_turn())
         co_return false;
-    keep_alive_ = session_->stays_open_after(*this);
+    keep_alive_ = !session_->lifetime_.next_answer_closes();
     std::string framing;
     if (!has_no_body(head.status))
         framing = "Content-Length: " + std::to_string(head.declared_length.value_or(body.size())) + "\r\n";
@@ -136,7 +136,7 @@
 {
     if (!co_await wait_for_turn())
         co_return false;
-    keep_alive_ = session_->stays_open_after(*this);
+    keep_alive_ = !session_->lifetime_.next_answer_closes();
     chunked_ = !length;
     const auto framing = length ? "Content-Length: " + std::to_string(*length) + "\r\n"
                                 : std::string("Transfer-Encoding: chunked\r\n");
--- a/source/gateway/caller_session.cpp
+++ b/source/gateway/caller_session.cpp
@@ -86,7 +86,7 @@
 
 caller_session::caller_session(net::tcp::socket socket, std::shared_ptr<session_context> context)
     : context_(std::move(context)), stream_(std::make_unique<stream>(std::move(socket))),
-      phase_began_(context_->time.now())
+      lifetime_(context_->shutdown), phase_began_(context_->time.now())
 {
     net::error_code ignored;
     stream_->socket.set_option(net::tcp::no_delay(true), ignored);
@@ -106,11 +106,11 @@
 asio::awaitable<void> caller_session::run()
 {
     const auto self = shared_from_this();
-    bool expect_more = true;
-    while (expect_more && !closed_ && !sending_shut_down_) {
+    bool readable = true;
+    while (readable && !closed_ && lifetime_.takes_requests()) {
         co_await wait_for_pipeline_slot();
         auto exchange = co_await read_request();
-        expect_more = exchange != nullptr && exchange->request().keep_alive;
+        readable = exchange != nullptr;
         if (exchange)
             start(std::move(exchange), context_->handle);
     }
@@ -146,6 +146,8 @@
         }
         buffer.commit(bytes);
     }
+    if (!lifetime_.takes_requests())
+        co_return nullptr;
     const auto received = context_->time.now();
     const auto limits = context_->limits();
     phase_ = read_phase::reading_head;
@@ -173,8 +175,8 @@
     }
     phase_ = read_phase::idle;
     phase_began_ = context_->time.now();
-    if (sending_shut_down_)
-        co_return nullptr; // the request follows one whose answer closed the connection: ignore it
+    if (!lifetime_.takes_requests())
+        co_return nullptr; // decided while the request was being read
     if (timed_out_ || is_http_error(error)) {
         context_->counters.add(net::counter::requests_malformed);
         reject(timed_out_ ? request_timeout : status_of(error),
@@ -203,6 +205,7 @@
 
 void caller_session::start(std::shared_ptr<caller_exchange> exchange, const session_context::handler& handle)
 {
+    lifetime_.request_taken(exchange->request().keep_alive);
     exchanges_.push_back(exchange);
     asio::co_spawn(executor(), handle(std::move(exchange)),
                    [session = shared_from_this()](const std::exception_ptr& error) {
@@ -239,12 +242,6 @@
     return !exchanges_.empty() && exchanges_.front().get() == &exchange;
 }
 
-bool caller_session::stays_open_after(const caller_exchange& exchange) const
-{
-    const bool last = exchanges_.size() == 1;
-    return exchange.request().keep_alive && !(context_->shutdown.begun() && last);
-}
-
 asio::awaitable<bool> caller_session::write(std::string_view head, std::string_view body)
 {
     if (closed_)
@@ -280,6 +277,7 @@
 void caller_session::shut_down_sending()
 {
     sending_shut_down_ = true;
+    lifetime_.end();
     phase_began_ = context_->time.now();
     const auto unanswered = std::move(exchanges_);
     exchanges_.clear();
--- a/source/gateway/caller_session.h
+++ b/source/gateway/caller_session.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gateway/caller_exchange.h"
-#include "gateway/graceful_shutdown.h"
+#include "gateway/connection_lifetime.h"
 #include "net/lasting_task.h"
 #include "net/metrics.h"
 #include "steering/traffic_policy.h"
@@ -60,7 +60,6 @@
     enum class read_phase { idle, reading_head, reading_body, discarding };
 
     [[nodiscard]] bool is_next_to_answer(const caller_exchange& exchange) const;
-    [[nodiscard]] bool stays_open_after(const caller_exchange& exchange) const;
     net::asio::awaitable<bool> write(std::string_view head, std::string_view body);
     void complete_exchange(const caller_exchange& exchange, bool keep_alive);
 
@@ -74,6 +73,7 @@
 
     std::shared_ptr<session_context> context_;
     std::unique_ptr<stream> stream_;
+    connection_lifetime lifetime_;
     std::deque<std::shared_ptr<caller_exchange>> exchanges_; ///< not yet answered, oldest first
     std::optional<net::asio::steady_timer> slot_signal_;     ///< cancelled when another request may be read
     read_phase phase_ = read_phase::idle;
--- a/tests/gateway/shutdown_forwarding_test.cpp
+++ b/tests/gateway/shutdown_forwarding_test.cpp
@@ -7,6 +7,12 @@
 
 namespace {
 
+std::string id_of(const std::string& request)
+{
+    const auto begin = request.find("X-Id: ") + 6;
+    return request.substr(begin, request.find("\r\n", begin) - begin);
+}
+
 std::string make_order(const std::string& id, core::milliseconds time_limit)
 {
     return "POST /orders/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: " + id +
@@ -18,6 +24,38 @@
     return text.find(part) != std::string::npos;
 }
 
+/** Holds the answers of servers back until it is opened. */
+class gate {
+public:
+    void open() { open_ = true; }
+    void wait() const
+    {
+        while (!open_)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+
+private:
+    std::atomic<bool> open_ = false;
+};
+
+std::function<scripted_reply(const std::string&)> answer_behind(const gate& answers)
+{
+    return [&answers](const std::string& request) {
+        answers.wait();
+        return scripted_reply{make_signed_reply(id_of(request), "answer to " + id_of(request))};
+    };
+}
+
+/** @returns whether a number of requests reach the servers within the time that they need on loopback. */
+bool reach_servers(const forwarding_fixture& fixture, std::size_t number)
+{
+    constexpr std::chrono::milliseconds longest_way{200};
+    const auto limit = std::chrono::steady_clock::now() + longest_way;
+    while (fixture.requests_at_servers() < number && std::chrono::steady_clock::now() < limit)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    return fixture.requests_at_servers() >= number;
+}
+
 } // namespace
 
 // Guards against orders that are passed on late in a planned stop and cut at the exit.
@@ -47,3 +85,22 @@
     CHECK(client.read_to_end().starts_with("HTTP/1.1 503"));
     CHECK(fixture.requests_at_servers() == 0);
 }
+
+// Guards against connections that always have a request unanswered and are cut with it at the exit.
+TEST_CASE("a planned stop closes a connection whose caller sends further requests before it is answered")
+{
+    gate answers;
+    forwarding_fixture fixture({answer_behind(answers)});
+    test_client client(fixture.port());
+    client.send(make_request("1") + make_request("2"));
+    CHECK(fixture.server(0).wait_for_requests(2));
+    fixture.begin_shutdown();
+    client.send(make_request("3"));
+    CHECK_FALSE(reach_servers(fixture, 3));
+    answers.open();
+    const auto text = client.read_to_end();
+    CHECK(contains(text, "answer to 1"));
+    CHECK(contains(text, "Connection: close\r\n"));
+    CHECK(text.ends_with("answer to 2"));
+    CHECK(fixture.requests_at_servers() == 2);
+}
