Take no request behind an answer that closes its connection

Cause: the head of an answer decided that the connection closes, but reading went on until the end of the answer. Change: connection_lifetime takes no request once an answer has announced the close.

--- a/source/gateway/connection_lifetime.h
+++ b/source/gateway/connection_lifetime.h
@@ -6,8 +6,10 @@
 
 /** Decides which requests of one caller's connection are taken, and which answer closes it.
 
-    During a shutdown, no request is taken while an answer that can still announce the close is due. Otherwise
-    a caller that always has a further request on the way would keep the connection open until the exit.
+    A request that follows a closing answer counts as not read: its caller sends it again on another
+    connection. So none is taken once an answer has announced the close. During a shutdown, none is taken
+    either while an answer that can still announce the close is due. Otherwise a caller that always has a
+    further request on the way would keep the connection open until the exit.
 */
 class connection_lifetime {
 public:
@@ -30,7 +32,8 @@
     [[nodiscard]] bool next_answer_closes()
     {
         --undecided_;
-        return undecided_ == 0 && (last_taken_ || shutdown_.begun());
+        ends_ = undecided_ == 0 && (last_taken_ || shutdown_.begun());
+        return ends_;
     }
     /** Records that the connection ends for another reason. */
     void end() { ends_ = true; }
--- a/tests/gateway/shutdown_forwarding_test.cpp
+++ b/tests/gateway/shutdown_forwarding_test.cpp
@@ -104,3 +104,23 @@
     CHECK(text.ends_with("answer to 2"));
     CHECK(fixture.requests_at_servers() == 2);
 }
+
+// Guards against requests that are passed on although an answer has announced that their connection closes.
+TEST_CASE("a request behind an answer that closes its connection is not passed on")
+{
+    const std::string large_body(300000, 'x');
+    forwarding_fixture fixture({[&large_body](const std::string& request) {
+        scripted_reply reply{make_signed_reply(id_of(request), large_body)};
+        reply.bytes_per_second = 300000;
+        return reply;
+    }});
+    fixture.begin_shutdown();
+    test_client client(fixture.port());
+    client.send(make_request("1"));
+    const auto first_bytes = client.count_bytes(1);
+    client.send(make_request("2"));
+    CHECK_FALSE(reach_servers(fixture, 2));
+    const auto rest = client.read_to_end();
+    CHECK(first_bytes + rest.size() > large_body.size());
+    CHECK(fixture.requests_at_servers() == 1);
+}
--- a/tests/platform/soak/soak_caller.cpp
+++ b/tests/platform/soak/soak_caller.cpp
@@ -21,7 +21,8 @@
 constexpr core::milliseconds early{15};
 constexpr std::uint64_t largest_body = 20000;
 
-/** @returns what is wrong with an answer, or an empty text. */
+} // namespace
+
 std::string check_answer(const http::response<http::string_body>& answer, const std::string& id)
 {
     if (answer["Request-Id"] != id)
@@ -35,8 +36,6 @@
     return answer.body() == expected_body(id) ? "" : "a success has another body";
 }
 
-} // namespace
-
 soak_caller::soak_caller(asio::any_io_executor executor, std::string name, const gateway_list& gateways,
                          request_records& records, event_history& history, std::uint64_t seed,
                          caller_habits habits)
--- a/tests/platform/soak/soak_caller.h
+++ b/tests/platform/soak/soak_caller.h
@@ -4,6 +4,7 @@
 #include "request_records.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
 
 namespace knapweed::soak {
 
@@ -13,6 +14,11 @@
     core::milliseconds longest_pause{40}; ///< between an answer and the next request
 };
 
+/** @returns what is wrong with the answer to a request, or an empty text. */
+[[nodiscard]] std::string
+check_answer(const boost::beast::http::response<boost::beast::http::string_body>& answer,
+             const std::string& id);
+
 /** A caller that sends one request after another, keeps its connection open as long as it can, and checks
    each answer. */
 class soak_caller {
--- a/tests/platform/soak/soak_run.cpp
+++ b/tests/platform/soak/soak_run.cpp
@@ -83,7 +83,18 @@
         fleet_.write_server(place, false);
     write_configuration();
     fleet_.start_gateways();
-    schedule(warm_up, [this] { fleet_.start_callers(options_.callers); });
+    schedule(warm_up, [this] { start_callers(); });
+}
+
+void soak_run::start_callers()
+{
+    fleet_.start_callers(options_.callers);
+    for (int i = 0; i < options_.pipelining_callers; ++i) {
+        pipelining_callers_.push_back(std::make_unique<pipelining_caller>(
+            fleet_.io().get_executor(), "p" + std::to_string(i), fleet_.gateways(), fleet_.records(),
+            fleet_.history(), options_.seed + static_cast<std::uint64_t>(i)));
+        asio::co_spawn(fleet_.io(), pipelining_callers_.back()->run(), asio::detached);
+    }
 }
 
 /** Writes the next configuration, which may send the moved route to the next service. */
--- a/tests/platform/soak/soak_run.h
+++ b/tests/platform/soak/soak_run.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pipelining_caller.h"
 #include "promise_checker.h"
 #include "store_fleet.h"
 
@@ -15,6 +16,7 @@
     int gateways = 4;
     int servers_per_service = 4;
     int callers = 10;
+    int pipelining_callers = 3;
     core::milliseconds length{10000}; ///< of the time with faults
 };
 
@@ -41,6 +43,7 @@
     using server_place = store_fleet::server_place;
 
     void start();
+    void start_callers();
     void write_configuration();
     void schedule_faults();
     void schedule(core::milliseconds at, std::function<void()> action)
@@ -71,6 +74,7 @@
 
     soak_options options_;
     store_fleet fleet_;
+    std::vector<std::unique_ptr<pipelining_caller>> pipelining_callers_;
     core::random_source statements_; ///< apart from the fleet's, so that earlier seeds keep their faults
     planned_changes changes_;
     soak_result result_;
