--- a/source/net/connection_pool.cpp
+++ b/source/net/connection_pool.cpp
@@ -45,6 +45,12 @@
     entry.idle.push_back(std::move(connection));
 }
 
+void connection_pool::close_idle(const std::string& address)
+{
+    if (const auto found = addresses_.find(address); found != addresses_.end())
+        found->second.idle.clear();
+}
+
 void connection_pool::close_idle()
 {
     const auto now = time_.now();
--- a/source/net/connection_pool.h
+++ b/source/net/connection_pool.h
@@ -31,6 +31,9 @@
     void release(std::unique_ptr<client_connection> connection,
                  std::optional<core::duration> idle_limit = std::nullopt);
 
+    /** Closes the idle connections to an address, for instance because the path to it may have changed. */
+    void close_idle(const std::string& address);
+
     /** Closes connections that exceeded their idle limit. Call it about once a second. */
     void close_idle();
 
--- a/source/net/http_client.cpp
+++ b/source/net/http_client.cpp
@@ -73,6 +73,8 @@
     result.timed_out = result.timed_out || timer.expired();
     if (result.status == fetch_status::answered)
         connections_.release(std::move(connection));
+    else if (result.timed_out && result.reused_connection)
+        connections_.close_idle(address); // what silenced this connection may have silenced the others
     co_return result;
 }
 
