--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -235,6 +235,24 @@
     }
 }
 
+// Guards against changes that are missed because the connections to the store died without a sign.
+TEST_CASE("changes are in force in time after the open connections to the store fell silent for good")
+{
+    constexpr std::chrono::milliseconds longest_silence{
+        6500}; // out of touch for 4 s, then 2.5 s for a change
+    store_watcher_fixture fixture;
+    REQUIRE(fixture.wait_for_usable(7));
+    REQUIRE(fixture.wait_for([&](auto&) { return fixture.store.has("instances", "watcher"); }));
+    const auto silent_since = std::chrono::steady_clock::now();
+    fixture.store.silence_open_connections();
+    fixture.store.put("op", "config", config_with_version("00000020"));
+    fixture.store.put("servers", "i-8", sample_entry());
+    REQUIRE(fixture.wait_for_usable(8));
+    REQUIRE(fixture.wait_for(
+        [](auto& steerer) { return steerer.policy() != nullptr && steerer.policy()->version == 0x20; }));
+    CHECK(std::chrono::steady_clock::now() - silent_since < longest_silence);
+}
+
 // Guards against a configuration that never takes effect, and a registration that is lost, because what the
 // store acknowledged is gone and its versions are given out again.
 TEST_CASE("an instance follows a store that has come back from an older copy")
--- a/tests/platform/store_fake.cpp
+++ b/tests/platform/store_fake.cpp
@@ -43,6 +43,19 @@
     fault_ = new_fault;
 }
 
+void store_fake::silence_open_connections()
+{
+    const std::lock_guard lock(mutex_);
+    silenced_before_ = connections_.size();
+}
+
+bool store_fake::is_silenced_connection()
+{
+    const auto number =
+        connections_.try_emplace(std::this_thread::get_id(), connections_.size()).first->second;
+    return number < silenced_before_;
+}
+
 void store_fake::set_rate(std::size_t bytes_per_second)
 {
     const std::lock_guard lock(mutex_);
@@ -155,7 +168,7 @@
             const std::lock_guard lock(mutex_);
             if (fault_ == fault::refuse)
                 return {make_answer("503 Busy", "")};
-            if (fault_ == fault::silent)
+            if (fault_ == fault::silent || is_silenced_connection())
                 return {"", false, true};
             if (fault_ == fault::garbage)
                 return {make_answer("200 OK", "{\"rows\":5}")};
--- a/tests/platform/store_fake.h
+++ b/tests/platform/store_fake.h
@@ -32,6 +32,8 @@
     void put(const std::string& table, const std::string& key, const std::string& value);
     void remove(const std::string& table, const std::string& key);
     void set_fault(fault new_fault);
+    /** Never answers again on the connections that are open now; new ones work. */
+    void silence_open_connections();
     /** @returns a copy of the rows, from which the store can come back later. */
     [[nodiscard]] table_copy copy() const;
     /** Comes back from an older copy, in the next era. */
@@ -47,6 +49,7 @@
 
 private:
     scripted_reply answer(const std::string& request);
+    [[nodiscard]] bool is_silenced_connection();
     [[nodiscard]] scripted_reply reply_with(const std::string& body) const;
     [[nodiscard]] std::string make_answer(const std::string& status, const std::string& body) const;
     [[nodiscard]] std::string list(const std::string& target) const;
@@ -61,6 +64,9 @@
     std::uint64_t era_ = 1;
     fault fault_ = fault::none;
     std::size_t bytes_per_second_ = 0;
+    std::uint64_t silenced_before_ = 0; ///< connections with a smaller number are silent
+    /** Numbers of the connections, each of which the server handles on its own thread. */
+    std::map<std::thread::id, std::uint64_t> connections_;
     upstream_fake server_;
 };
 
