Log on which connection each attempt was made, and its place there

Cause: the log could not tell two sends of one request on one connection from sends on two connections to one address, so the hypotheses on the refused requests that ran could not be told apart. Change: attempts and relays are logged with the number of the connection, the request's place on it and the number of answers to other requests that were skipped. No decision uses them.

--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -202,6 +202,7 @@
         co_return result;
     result.outcome = co_await send_and_receive(server);
     result.taken = context_.time.now() - started;
+    result.place = upstream_.place();
     const bool has_head = result.outcome != attempt_outcome::connection_lost &&
                           result.outcome != attempt_outcome::timed_out &&
                           result.outcome != attempt_outcome::not_connected;
--- a/source/gateway/relay_sender.cpp
+++ b/source/gateway/relay_sender.cpp
@@ -33,6 +33,8 @@
     steering::relay_result result;
     result.outcome = co_await attempt(step, request, upstream, result.unreachable);
     result.taken = time_.now() - started;
+    if (result.outcome != relay_outcome::not_sent)
+        result.place = upstream.place();
     if (result.outcome == relay_outcome::refused)
         result.retry_after = parse_seconds(upstream.connection().field("retry-after"));
     if (result.outcome != relay_outcome::answered)
--- a/source/gateway/request_log.cpp
+++ b/source/gateway/request_log.cpp
@@ -2,6 +2,19 @@
 
 namespace knapweed::gateway {
 
+namespace {
+
+void add_place(json_line& line, const steering::send_place& place)
+{
+    if (place.connection == 0)
+        return;
+    line.add("connection", place.connection).add("place", place.request);
+    if (place.skipped_answers > 0)
+        line.add("skipped_answers", place.skipped_answers);
+}
+
+} // namespace
+
 void add_plan(json_line& line, const steering::request_plan& plan, core::duration elapsed)
 {
     if (plan.matched != nullptr) {
@@ -33,6 +46,7 @@
             .add_ms("taken_ms", attempt.taken);
         if (attempt.connecting != steering::connect_failure::none)
             attempt_json.add("connecting", core::name_of(attempt.connecting));
+        add_place(attempt_json, attempt.place);
         attempts_json += (attempts_json.empty() ? "" : ",") + attempt_json.str();
     }
     line.add_raw("attempts", "[" + attempts_json + "]");
@@ -44,6 +58,7 @@
         relay_json.add("instance", relay.instance.str())
             .add("outcome", core::name_of(relay.outcome))
             .add_ms("taken_ms", relay.taken);
+        add_place(relay_json, relay.place);
         relays_json += (relays_json.empty() ? "" : ",") + relay_json.str();
     }
     line.add_raw("relays", "[" + relays_json + "]");
--- a/source/gateway/upstream_exchange.cpp
+++ b/source/gateway/upstream_exchange.cpp
@@ -17,7 +17,7 @@
    can be retried on another server, because the caller has received nothing yet. */
 constexpr std::size_t max_buffered_bytes = 32768;
 /** Answers to earlier requests that are skipped on one connection before the attempt fails. */
-constexpr int max_stale_answers = 2;
+constexpr unsigned max_stale_answers = 2;
 constexpr std::size_t max_stale_answer_bytes = 1U << 20U;
 /** Interim answers (1xx) that may precede the answer. */
 constexpr int max_interim_answers = 4;
@@ -35,6 +35,7 @@
 {
     buffered_body_.clear();
     buffered_whole_ = false;
+    place_ = {};
     must_discard_connection_ = false;
     connection_ = connections_.acquire(address, limit, longest_idle);
     return connection_ != nullptr;
@@ -52,6 +53,7 @@
     const auto written = co_await connection_->write_message(head, request.body);
     if (written.error && written.bytes == 0)
         co_return false;
+    place_ = {connection_->number(), connection_->requests()};
     // A server may answer early and close the connection without reading the whole body: its answer is valid.
     if (written.error)
         must_discard_connection_ = true;
@@ -64,8 +66,7 @@
 {
     constexpr unsigned first_final_status = 200;
     int interim_answers = 0;
-    int stale_answers = 0;
-    while (interim_answers <= max_interim_answers && stale_answers <= max_stale_answers) {
+    while (interim_answers <= max_interim_answers && place_.skipped_answers <= max_stale_answers) {
         if (co_await connection_->read_head())
             co_return false;
         if (connection_->status() < first_final_status) {
@@ -74,7 +75,7 @@
         else if (is_for_another_request(extract_answer_facts())) {
             // A late answer to an earlier request on this connection; the answer to this request may follow.
             must_discard_connection_ = true;
-            ++stale_answers;
+            ++place_.skipped_answers;
             if (!co_await skip_body())
                 co_return false;
         }
--- a/source/gateway/upstream_exchange.h
+++ b/source/gateway/upstream_exchange.h
@@ -38,6 +38,8 @@
         yet. @returns false when the connection failed. */
     net::asio::awaitable<bool> buffer_body();
 
+    /** @returns where the request of this attempt was sent. */
+    [[nodiscard]] const steering::send_place& place() const noexcept { return place_; }
     /** @returns the properties of the answer's head. */
     [[nodiscard]] answer_facts extract_answer_facts() const;
     /** Adds the load that the answer states, and the size of the answer, to a result. */
@@ -75,6 +77,7 @@
     std::string buffered_body_;
     bool buffered_whole_ = false;
     bool timed_out_ = false;
+    steering::send_place place_;
     bool must_discard_connection_ = false; ///< it must not be reused for another request
 };
 
--- a/source/net/client_connection.cpp
+++ b/source/net/client_connection.cpp
@@ -43,10 +43,11 @@
     std::uint64_t body_bytes = 0;          ///< bytes of the body among them
 };
 
-client_connection::client_connection(const asio::any_io_executor& executor, std::string address,
-                                     tcp::endpoint remote, std::shared_ptr<std::size_t> open_count)
-    : address_(std::move(address)), remote_(std::move(remote)), open_count_(std::move(open_count)),
-      state_(std::make_unique<state>(executor))
+client_connection::client_connection(const asio::any_io_executor& executor, std::uint64_t number,
+                                     std::string address, tcp::endpoint remote,
+                                     std::shared_ptr<std::size_t> open_count)
+    : number_(number), address_(std::move(address)), remote_(std::move(remote)),
+      open_count_(std::move(open_count)), state_(std::make_unique<state>(executor))
 {}
 
 client_connection::~client_connection()
--- a/source/net/client_connection.h
+++ b/source/net/client_connection.h
@@ -41,14 +41,18 @@
 */
 class client_connection {
 public:
-    /** @param open_count number of open connections to this address; decremented on destruction. */
-    client_connection(const asio::any_io_executor& executor, std::string address, tcp::endpoint remote,
-                      std::shared_ptr<std::size_t> open_count);
+    /** @param number identifies the connection in this process. @param open_count number of open connections
+        to this address; decremented on destruction. */
+    client_connection(const asio::any_io_executor& executor, std::uint64_t number, std::string address,
+                      tcp::endpoint remote, std::shared_ptr<std::size_t> open_count);
     client_connection(const client_connection&) = delete;
     client_connection& operator=(const client_connection&) = delete;
     ~client_connection();
 
+    [[nodiscard]] std::uint64_t number() const noexcept { return number_; }
     [[nodiscard]] const std::string& address() const noexcept { return address_; }
+    /** @returns the number of requests that were written, the current one included. */
+    [[nodiscard]] std::uint64_t requests() const noexcept { return requests_; }
     /** @returns whether the connection has carried a request before. */
     [[nodiscard]] bool reused() const noexcept { return requests_ > 1; }
     [[nodiscard]] bool connected() const noexcept { return connected_; }
@@ -108,6 +112,7 @@
 private:
     struct state;
 
+    std::uint64_t number_;
     std::string address_;
     tcp::endpoint remote_;
     std::shared_ptr<std::size_t> open_count_;
--- a/source/net/connection_pool.cpp
+++ b/source/net/connection_pool.cpp
@@ -32,7 +32,7 @@
         return nullptr;
     reports_.add(counter::upstream_connections_opened);
     ++*entry.open_count;
-    return std::make_unique<client_connection>(executor_, address, *remote, entry.open_count);
+    return std::make_unique<client_connection>(executor_, ++opened_, address, *remote, entry.open_count);
 }
 
 void connection_pool::release(std::unique_ptr<client_connection> connection,
--- a/source/net/connection_pool.h
+++ b/source/net/connection_pool.h
@@ -47,6 +47,7 @@
     core::duration idle_limit_;
     counter_sink& reports_;
     const core::clock& time_;
+    std::uint64_t opened_ = 0; ///< connections so far, which are numbered in this order
     std::unordered_map<std::string, address_entry> addresses_;
 };
 
--- a/source/steering/request_plan.h
+++ b/source/steering/request_plan.h
@@ -28,6 +28,13 @@
     other
 };
 
+/** Where a request was sent. Two sends of one request can be told apart by it, unlike by the request's id. */
+struct send_place {
+    std::uint64_t connection = 0; ///< number of the connection in this process; 0 when nothing was sent
+    std::uint64_t request = 0;    ///< place of the request among those on the connection, from 1
+    unsigned skipped_answers = 0; ///< answers to other requests that arrived before the answer
+};
+
 /** The gateway's report on an attempt that has ended. */
 struct attempt_result {
     attempt_outcome outcome = attempt_outcome::not_connected;
@@ -41,6 +48,7 @@
     bool malformed_rest = false;         ///< the rejection states a time that can't be read
     core::duration taken{};              ///< from the start of the attempt to its result
     double answer_kilobytes = 0;
+    send_place place{};
 };
 
 /** How a relay of a request through another instance ended. */
@@ -59,6 +67,7 @@
     bool unreachable = false;     ///< no connection to the other instance could be opened
     core::duration retry_after{}; ///< stated by a refusal
     core::duration taken{};
+    send_place place{};
 };
 
 /** One relay of a request, for the request's log line. */
@@ -66,6 +75,7 @@
     core::instance_id instance;
     relay_outcome outcome = relay_outcome::unfinished;
     core::duration taken{};
+    send_place place{};
 };
 
 /** One attempt at a server, for the request's log line and for the estimates that its result updates. */
@@ -80,6 +90,7 @@
     attempt_outcome outcome = attempt_outcome::unfinished;
     connect_failure connecting = connect_failure::none;
     core::duration taken{};
+    send_place place{};
 };
 
 /** Properties of a request that are available when its head has been read. */
--- a/source/steering/request_relay.cpp
+++ b/source/steering/request_relay.cpp
@@ -86,6 +86,7 @@
     auto& ended = plan.relays.back();
     ended.outcome = result.outcome;
     ended.taken = result.taken;
+    ended.place = result.place;
     instances_.relay_ended(ended.instance, result.unreachable);
 }
 
--- a/source/steering/steerer_results.cpp
+++ b/source/steering/steerer_results.cpp
@@ -28,6 +28,7 @@
     attempt.outcome = result.outcome;
     attempt.connecting = result.connecting;
     attempt.taken = result.taken;
+    attempt.place = result.place;
     if (result.outcome == attempt_outcome::answered && attempt.expected_time.count() > 0)
         server.speed().observe(result.taken, attempt.expected_time);
     answers_.record(plan, server, result, distances_, state_of(plan));
