Test that a copy of a refusal is never the answer to a request that runs (fails)

Change: a failing test for each way in which it can: the next process at a server's address, an entry that is put anew, a caller that repeats its id. The scripted server can send bytes before the reply to the next request of a connection. Measured: gateway_tests, each of the three: 'HTTP/1.1 503 Not served', and the server ran the request.

--- a/tests/gateway/forwarding_fixture.cpp
+++ b/tests/gateway/forwarding_fixture.cpp
@@ -66,13 +66,7 @@
     (void)steerer_.apply(make_policy(idempotent, timeout));
     for (std::size_t i = 0; i < scripts.size(); ++i) {
         servers_.push_back(std::make_unique<upstream_fake>(scripts[i]));
-        steering::server_record record;
-        record.id = core::server_id{"s" + std::to_string(i)};
-        record.service = core::service_id{"orders"};
-        record.data_centre = core::data_centre_id{"a"};
-        record.address = servers_.back()->address();
-        record.slots = 4;
-        steerer_.servers().put(record);
+        steerer_.servers().put(make_record(i));
     }
     const net::tcp::endpoint any_port(boost::asio::ip::address_v4::loopback(), 0);
     if (listener_.listen(any_port) || relayed_.listen(any_port))
@@ -86,6 +80,25 @@
     thread_.join();
 }
 
+steering::server_record forwarding_fixture::make_record(std::size_t index) const
+{
+    steering::server_record record;
+    record.id = core::server_id{"s" + std::to_string(index)};
+    record.service = core::service_id{"orders"};
+    record.data_centre = core::data_centre_id{"a"};
+    record.address = servers_.at(index)->address();
+    record.slots = 4;
+    return record;
+}
+
+void forwarding_fixture::put_entry(std::size_t index, const std::string& id, std::uint64_t started_unix_ms)
+{
+    auto record = make_record(index);
+    record.id = core::server_id{id};
+    record.started_unix_ms = started_unix_ms;
+    run_on_gateway_thread([this, &record] { steerer_.servers().put(record); });
+}
+
 net::asio::awaitable<void> forwarding_fixture::forward(std::shared_ptr<gateway::caller_exchange> exchange)
 {
     const auto request = std::make_shared<gateway::forwarded_request>(context_, std::move(exchange));
--- a/tests/gateway/forwarding_fixture.h
+++ b/tests/gateway/forwarding_fixture.h
@@ -55,6 +55,8 @@
     void stop_relayed();
     [[nodiscard]] upstream_fake& server(std::size_t index) { return *servers_.at(index); }
     [[nodiscard]] std::size_t requests_at_servers() const;
+    /** Writes an entry for the server with a number: another one, or its own anew with another start time. */
+    void put_entry(std::size_t index, const std::string& id, std::uint64_t started_unix_ms);
     /** @returns the gateway's estimate of the share of failures of a server; call it on the gateway's thread.
      */
     [[nodiscard]] double failure_share_of(std::size_t index) const;
@@ -62,6 +64,7 @@
     void run_on_gateway_thread(const std::function<void()>& action);
 
 private:
+    [[nodiscard]] steering::server_record make_record(std::size_t index) const;
     net::asio::awaitable<void> forward(std::shared_ptr<gateway::caller_exchange> exchange);
     net::asio::awaitable<void> forward_relayed(std::shared_ptr<gateway::caller_exchange> exchange);
     [[nodiscard]] std::shared_ptr<gateway::session_context>
--- /dev/null
+++ b/tests/gateway/refusal_copy_test.cpp
@@ -0,0 +1,116 @@
+#include "forwarding_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace knapweed;
+using namespace knapweed::test;
+
+namespace {
+
+/** How a request that a server has refused reaches the same address again. */
+enum class second_way {
+    new_process,   ///< the address belongs to a new process, and the entry of the former one is still there
+    renewed_entry, ///< the server's entry is put anew while the request is under way
+    repeated_id    ///< the caller sends the request again, under the same id
+};
+
+struct copy_case {
+    second_way way;
+    std::string status;      ///< of the refusal
+    std::string before_copy; ///< sent before the copy
+    int copies = 1;          ///< sent before the answer to the next request on the connection
+    bool idempotent = false;
+};
+
+/** A server that refuses the first request that it gets and runs the others. */
+class copying_server {
+public:
+    explicit copying_server(const copy_case& played) : played_(played) {}
+
+    /** Called for the first request, while the gateway waits for its answer. */
+    std::function<void()> on_refusal;
+    std::atomic<int> refused = 0;
+    std::atomic<int> ran = 0;
+
+    scripted_reply operator()(const std::string&)
+    {
+        if (refused++ > 0) {
+            ++ran;
+            return {make_signed_reply("7", "ran")};
+        }
+        on_refusal();
+        const auto refusal =
+            make_reply(played_.status,
+                       "X-Id: 7\r\nX-Not-Run: 1\r\nRetry-After: 0.01\r\nKeep-Alive: timeout=10\r\n", "no");
+        scripted_reply reply{refusal};
+        reply.before_next = played_.before_copy;
+        for (int i = 0; i < played_.copies; ++i)
+            reply.before_next += refusal;
+        return reply;
+    }
+
+private:
+    copy_case played_;
+};
+
+void play(const copy_case& played)
+{
+    INFO("way " << static_cast<int>(played.way) << ", " << played.status << ", " << played.copies
+                << " copies after '" << played.before_copy << "', idempotent " << played.idempotent);
+    copying_server server(played);
+    forwarding_fixture fixture({std::ref(server)}, played.idempotent, core::milliseconds(2000));
+    server.on_refusal = [&fixture, &played] {
+        if (played.way == second_way::new_process)
+            fixture.put_entry(0, "another", 2);
+        if (played.way == second_way::renewed_entry)
+            fixture.put_entry(0, "s0", 2);
+    };
+    test_client client(fixture.port());
+    const auto request = make_request("7", played.idempotent ? "GET" : "POST");
+    client.send(request);
+    auto answer = client.read_answer();
+    if (played.way == second_way::repeated_id) {
+        REQUIRE(answer.starts_with("HTTP/1.1 503"));
+        std::this_thread::sleep_for(std::chrono::milliseconds(20)); // stated by the refusal
+        client.send(request);
+        answer = client.read_answer();
+    }
+    REQUIRE(server.ran <= 1);
+    INFO("the caller got " << answer);
+    const bool promises_not_run = answer.starts_with("HTTP/1.1 503");
+    REQUIRE_FALSE((promises_not_run && server.ran > 0));
+    REQUIRE(answer.starts_with("HTTP/1.1 200"));
+    REQUIRE(answer.ends_with("ran"));
+}
+
+void play_all(second_way way, const std::vector<std::string>& statuses)
+{
+    for (const auto& status : statuses) {
+        for (const auto* before_copy : {"", "HTTP/1.1 103 Early Hints\r\n\r\n"}) {
+            for (const int copies : {1, 2}) {
+                for (const bool idempotent : {false, true})
+                    play({way, status, before_copy, copies, idempotent});
+            }
+        }
+    }
+}
+
+} // namespace
+
+// Guards against "not run" for a request that the next process at a server's address runs.
+TEST_CASE("a copy of a refusal is not the answer of the next process at the address")
+{
+    play_all(second_way::new_process, {"421 Other", "503 Full"});
+}
+
+// Guards against "not run" for a request that a server with a renewed entry runs.
+TEST_CASE("a copy of a refusal is not the answer of the same server under a renewed entry")
+{
+    play_all(second_way::renewed_entry, {"503 Full", "429 Many", "400 Bad"});
+}
+
+// Guards against "not run" for a request that runs when its caller sends it again.
+TEST_CASE("a copy of a refusal is not the answer to a request that its caller repeats")
+{
+    play_all(second_way::repeated_id, {"503 Full", "429 Many", "400 Bad"});
+}
--- a/tests/net/upstream_fake.cpp
+++ b/tests/net/upstream_fake.cpp
@@ -114,6 +114,7 @@
 void upstream_fake::serve(tcp::socket& socket)
 {
     boost::system::error_code error;
+    std::string before_next;
     while (!error && !stopped_) {
         const auto request = read_message(socket);
         if (request.empty())
@@ -122,7 +123,9 @@
             const std::lock_guard lock(mutex_);
             requests_.push_back(request);
         }
-        const auto reply = script_(request);
+        auto reply = script_(request);
+        reply.bytes.insert(0, before_next);
+        before_next = reply.before_next;
         error = send(socket, reply);
         while (!reply.endless.empty() && !error && !stopped_)
             asio::write(socket, asio::buffer(reply.endless), error);
--- a/tests/net/upstream_fake.h
+++ b/tests/net/upstream_fake.h
@@ -17,6 +17,7 @@
     bool hang = false;                ///< send the bytes and answer nothing more until the other side closes
     std::string endless = {};         ///< sent again and again after the bytes until the other side closes
     std::size_t bytes_per_second = 0; ///< rate at which the bytes are sent; 0 for no limit
+    std::string before_next = {};     ///< sent on the connection before the reply to its next request
 };
 
 /** A server on loopback that answers each request with raw bytes that a function returns. */
