Send a request id over a connection to a server or an instance only once

Callers saw: a 503 for a request that must run at most once, while a server ran it (the users' five cases). Cause: a server may send the copy of a refusal late, with the id of the refused request. Kept connections belong to addresses, tried servers to entries. When a server has ended and its next process has registered at the same address, the former's entry is still there: the request gets 421, goes to the new entry over the same connection, and the copy of the 421 is taken for the answer. The same happens with an entry that is put anew and with a caller that repeats its id. Class: a statement is believed for one send because it bears the name of the request. A request that can use none of the idle connections gets a new one; at the limit, the oldest idle connection is closed for it. That also serves a request for which all idle connections had rested too long, which was refused at the limit before. Closing a connection after each refusal was left: refusals come in floods.

--- a/source/gateway/upstream_exchange.cpp
+++ b/source/gateway/upstream_exchange.cpp
@@ -28,7 +28,7 @@
 upstream_exchange::upstream_exchange(asio::any_io_executor executor, net::connection_pool& connections,
                                      const http_dialect& dialect, std::string request_id)
     : executor_(std::move(executor)), connections_(connections), dialect_(dialect),
-      request_id_(std::move(request_id))
+      request_id_(std::move(request_id)), request_id_hash_(core::hash_text(request_id_))
 {}
 
 bool upstream_exchange::acquire(const std::string& address, std::size_t limit, core::duration longest_idle)
@@ -37,7 +37,7 @@
     buffered_whole_ = false;
     place_ = {};
     must_discard_connection_ = false;
-    connection_ = connections_.acquire(address, limit, longest_idle);
+    connection_ = connections_.acquire(address, limit, longest_idle, request_id_hash_);
     return connection_ != nullptr;
 }
 
--- a/source/gateway/upstream_exchange.h
+++ b/source/gateway/upstream_exchange.h
@@ -20,8 +20,8 @@
     upstream_exchange(net::asio::any_io_executor executor, net::connection_pool& connections,
                       const http_dialect& dialect, std::string request_id);
 
-    /** Takes a connection for one attempt. @param limit of open connections to the address. @param
-        longest_idle a connection that was idle for longer is not used.
+    /** Takes a connection for one attempt, which has not carried the request before. @param limit of open
+       connections to the address. @param longest_idle a connection that was idle for longer is not used.
         @returns false when @p limit connections are open or the address is malformed. */
     [[nodiscard]] bool acquire(const std::string& address, std::size_t limit, core::duration longest_idle);
     [[nodiscard]] bool connected() const { return connection_->connected(); }
@@ -73,6 +73,7 @@
     net::connection_pool& connections_;
     const http_dialect& dialect_;
     std::string request_id_;
+    std::uint64_t request_id_hash_;
     std::unique_ptr<net::client_connection> connection_;
     std::string buffered_body_;
     bool buffered_whole_ = false;
--- a/source/net/client_connection.cpp
+++ b/source/net/client_connection.cpp
@@ -175,7 +175,7 @@
 bool client_connection::reusable() const
 {
     return connected_ && state_->socket.is_open() && complete() && state_->parser->keep_alive() &&
-           state_->buffer.size() == 0;
+           state_->buffer.size() == 0 && !carried_.full();
 }
 
 void client_connection::rest(core::time_point now, core::duration limit)
--- a/source/net/client_connection.h
+++ b/source/net/client_connection.h
@@ -2,6 +2,7 @@
 
 #include "core/core.h"
 #include "net/asio_types.h"
+#include "net/carried_requests.h"
 
 #include <cstdint>
 #include <functional>
@@ -53,6 +54,8 @@
     [[nodiscard]] const std::string& address() const noexcept { return address_; }
     /** @returns the number of requests that were written, the current one included. */
     [[nodiscard]] std::uint64_t requests() const noexcept { return requests_; }
+    /** @returns the requests with ids that were assigned to this connection. */
+    [[nodiscard]] carried_requests& carried() noexcept { return carried_; }
     /** @returns whether the connection has carried a request before. */
     [[nodiscard]] bool reused() const noexcept { return requests_ > 1; }
     [[nodiscard]] bool connected() const noexcept { return connected_; }
@@ -118,6 +121,7 @@
     std::shared_ptr<std::size_t> open_count_;
     bool connected_ = false;
     std::uint64_t requests_ = 0;
+    carried_requests carried_;
     core::time_point idle_since_;
     core::duration idle_limit_{};
     std::unique_ptr<state> state_;
--- a/source/net/connection_pool.cpp
+++ b/source/net/connection_pool.cpp
@@ -10,19 +10,45 @@
 {}
 
 std::unique_ptr<client_connection> connection_pool::acquire(const std::string& address, std::size_t limit,
-                                                            core::duration longest_idle)
+                                                            core::duration longest_idle,
+                                                            std::optional<std::uint64_t> id_hash)
 {
-    const auto now = time_.now();
     auto& entry = addresses_[address];
-    while (!entry.idle.empty()) {
-        if (entry.idle.back()->idle_time(now) > longest_idle)
+    auto connection = take_idle(entry, longest_idle, id_hash);
+    if (!connection)
+        connection = open_new(address, entry, limit);
+    if (connection && id_hash)
+        connection->carried().add(*id_hash);
+    return connection;
+}
+
+std::unique_ptr<client_connection> connection_pool::take_idle(address_entry& entry,
+                                                              core::duration longest_idle,
+                                                              std::optional<std::uint64_t> id_hash)
+{
+    const auto now = time_.now();
+    auto& idle = entry.idle;
+    for (auto position = idle.end(); position != idle.begin();) {
+        --position;
+        if ((*position)->idle_time(now) > longest_idle)
             break; // the remaining connections have been idle for longer
-        auto connection = std::move(entry.idle.back());
-        entry.idle.pop_back();
+        if (id_hash && (*position)->carried().contains(*id_hash))
+            continue;
+        auto connection = std::move(*position);
+        position = idle.erase(position);
         if (!connection->idle_too_long(now) && connection->open_and_silent())
             return connection;
         reports_.add(counter::upstream_connections_stale);
     }
+    return nullptr;
+}
+
+std::unique_ptr<client_connection> connection_pool::open_new(const std::string& address, address_entry& entry,
+                                                             std::size_t limit)
+{
+    // Idle connections that the request can't use make room for a new one.
+    while (*entry.open_count >= limit && !entry.idle.empty())
+        entry.idle.pop_front();
     if (*entry.open_count >= limit) {
         reports_.add(counter::upstream_connections_limited);
         return nullptr;
--- a/source/net/connection_pool.h
+++ b/source/net/connection_pool.h
@@ -5,6 +5,7 @@
 #include "net/metrics.h"
 
 #include <deque>
+#include <optional>
 #include <unordered_map>
 
 namespace knapweed::net {
@@ -19,12 +20,14 @@
                     const core::clock& time);
 
     /** @param limit of open connections to the address. @param longest_idle a connection that was idle for
-        longer is not reused for this request.
+        longer is not reused for this request. @param id_hash of the request's id, if answers repeat the id: a
+        connection carries an id once, since a late copy of the first answer could pass for the second one.
         @returns an idle connection that is still open, or else a new one on which to call `connect`; null
-        when @p limit connections are open or the address is malformed. */
+        when @p limit connections are in use or the address is malformed. */
     [[nodiscard]] std::unique_ptr<client_connection>
     acquire(const std::string& address, std::size_t limit,
-            core::duration longest_idle = core::duration::max());
+            core::duration longest_idle = core::duration::max(),
+            std::optional<std::uint64_t> id_hash = std::nullopt);
 
     /** Keeps the connection for reuse if its answer was read to the end; otherwise closes it.
         @param idle_limit of this connection, if its server stated one. */
@@ -43,6 +46,11 @@
         std::deque<std::unique_ptr<client_connection>> idle; ///< oldest first
     };
 
+    [[nodiscard]] std::unique_ptr<client_connection>
+    take_idle(address_entry& entry, core::duration longest_idle, std::optional<std::uint64_t> id_hash);
+    [[nodiscard]] std::unique_ptr<client_connection> open_new(const std::string& address,
+                                                              address_entry& entry, std::size_t limit);
+
     asio::any_io_executor executor_;
     core::duration idle_limit_;
     counter_sink& reports_;
