Don't take a refusal without a request id for an answer behind one to another request

Callers could see: a 503 for a request that a server runs. Cause: an answer without a request id counted as the answer to the first request of a new connection, also when an answer to another request had come before it. Change: such an answer proves nothing behind a skipped one, as on a connection that was used before. Measured: the new test got 503 before, 502 now; all other gateway tests pass.

--- a/source/gateway/answer_rules.cpp
+++ b/source/gateway/answer_rules.cpp
@@ -36,7 +36,7 @@
     using steering::attempt_outcome;
     if (is_for_another_request(answer))
         return attempt_outcome::answer_invalid;
-    const bool is_for_this_request = answer.matches_request || !answer.on_reused_connection;
+    const bool is_for_this_request = answer.matches_request || !answer.may_be_late;
     if (answer.status == misdirected && !answer.has_signature && is_for_this_request)
         return attempt_outcome::wrong_server;
     if (answer.marked_not_run && !answer.has_signature && is_for_this_request)
--- a/source/gateway/answer_rules.h
+++ b/source/gateway/answer_rules.h
@@ -15,8 +15,8 @@
     bool marked_not_run = false;  ///< the server states that it did not run the request
     bool encoded = false; ///< it has a Content-Encoding, so an intermediary changed the body: requests ask
                           ///< for no encoding
-    bool on_reused_connection = false; ///< a late answer to an earlier request may arrive on it
-    bool states_reason = false;        ///< an instance generated it, and states the reason
+    bool may_be_late = false;   ///< other requests or answers came before on the connection
+    bool states_reason = false; ///< an instance generated it, and states the reason
 };
 
 /** @returns whether the answer belongs to an earlier request on the connection, so that the answer to the
@@ -25,8 +25,8 @@
 
 /** Classifies an answer. Only an answer with the server's signature may be passed on to the caller; only a
    server's not-run field without a signature proves that the server did not run the request. Without a
-   request id, such an answer proves it only on a new connection, where no answer to an earlier request can
-   arrive. */
+   request id, such an answer proves it only as the first one on a new connection, where it can't belong to
+   another request. */
 [[nodiscard]] steering::attempt_outcome classify_answer(const answer_facts& answer);
 
 /** Classifies an answer of another instance to a relayed request: `answered`, `refused` or `unknown`. Only a
--- a/source/gateway/upstream_exchange.cpp
+++ b/source/gateway/upstream_exchange.cpp
@@ -120,7 +120,7 @@
     facts.status = connection_->status();
     facts.has_request_id = !id.empty();
     facts.matches_request = id == request_id_;
-    facts.on_reused_connection = connection_->reused();
+    facts.may_be_late = connection_->reused() || place_.skipped_answers > 0;
     facts.has_signature = !connection_->field(dialect_.signature_field).empty();
     facts.marked_not_run = !connection_->field(dialect_.not_run_field).empty();
     facts.states_reason = !connection_->field(reason_field).empty();
--- a/tests/gateway/refusal_copy_test.cpp
+++ b/tests/gateway/refusal_copy_test.cpp
@@ -109,6 +109,19 @@
     play_all(second_way::renewed_entry, {"503 Full", "429 Many", "400 Bad"});
 }
 
+// Guards against "not run" for a request because of an answer that may concern another one.
+TEST_CASE("a refusal without a request id proves nothing behind an answer to another request")
+{
+    forwarding_fixture fixture({[](const auto&) {
+                                   return scripted_reply{make_signed_reply("older", "not yours") +
+                                                         make_reply("503 Full", "X-Not-Run: 1\r\n", "")};
+                               }},
+                               false);
+    test_client client(fixture.port());
+    client.send(make_request("7", "POST"));
+    REQUIRE(client.read_answer().starts_with("HTTP/1.1 502"));
+}
+
 // Guards against "not run" for a request that runs when its caller sends it again.
 TEST_CASE("a copy of a refusal is not the answer to a request that its caller repeats")
 {
