Ignore what an answer states of its server unless it belongs to the request

Callers could see: requests that are refused or sent elsewhere for a load or a cold time of another server. Cause: load, size and cold time were taken from every answer with a head, also from one without the request's id on a used connection and from the 421 of the next process at an address; rest and leaving were not. Change: one function extracts all statements, after the check that the answer belongs to the request.

--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -206,10 +206,8 @@
     const bool has_head = result.outcome != attempt_outcome::connection_lost &&
                           result.outcome != attempt_outcome::timed_out &&
                           result.outcome != attempt_outcome::not_connected;
-    if (has_head) {
-        upstream_.extract_load(result);
-        upstream_.extract_notice(result);
-    }
+    if (has_head)
+        upstream_.extract_statements(result);
     if (result.outcome != attempt_outcome::answered && result.outcome != attempt_outcome::server_failed)
         upstream_.release();
     co_return result;
--- a/source/gateway/upstream_exchange.cpp
+++ b/source/gateway/upstream_exchange.cpp
@@ -128,6 +128,16 @@
     return facts;
 }
 
+void upstream_exchange::extract_statements(steering::attempt_result& result) const
+{
+    using steering::attempt_outcome;
+    const auto outcome = classify_answer(extract_answer_facts());
+    if (outcome == attempt_outcome::wrong_server || outcome == attempt_outcome::answer_invalid)
+        return;
+    extract_load(result);
+    extract_notice(result);
+}
+
 void upstream_exchange::extract_load(steering::attempt_result& result) const
 {
     result.load = dialect_.parse_load(connection_->field(dialect_.load_field));
@@ -144,10 +154,6 @@
 
 void upstream_exchange::extract_notice(steering::attempt_result& result) const
 {
-    using steering::attempt_outcome;
-    const auto outcome = classify_answer(extract_answer_facts());
-    if (outcome == attempt_outcome::wrong_server || outcome == attempt_outcome::answer_invalid)
-        return;
     constexpr unsigned unavailable = 503;
     if (const auto rest = connection_->field("retry-after");
         connection_->status() == unavailable && !rest.empty()) {
--- a/source/gateway/upstream_exchange.h
+++ b/source/gateway/upstream_exchange.h
@@ -42,11 +42,9 @@
     [[nodiscard]] const steering::send_place& place() const noexcept { return place_; }
     /** @returns the properties of the answer's head. */
     [[nodiscard]] answer_facts extract_answer_facts() const;
-    /** Adds the load that the answer states, and the size of the answer, to a result. */
-    void extract_load(steering::attempt_result& result) const;
-    /** Adds what the answer states of the server's plans to a result, unless the answer may be another
-        server's. */
-    void extract_notice(steering::attempt_result& result) const;
+    /** Adds what the answer states of its server, and the size of the answer, to a result, unless the answer
+        may be another server's or may belong to another request. */
+    void extract_statements(steering::attempt_result& result) const;
     /** @returns the connection, whose head and body can be read. */
     [[nodiscard]] net::client_connection& connection() { return *connection_; }
     [[nodiscard]] const std::string& buffered_body() const noexcept { return buffered_body_; }
@@ -68,6 +66,8 @@
     /** Reads the body of an answer to another request. @returns false when the connection failed or the body
        is too long. */
     net::asio::awaitable<bool> skip_body();
+    void extract_load(steering::attempt_result& result) const;
+    void extract_notice(steering::attempt_result& result) const;
 
     net::asio::any_io_executor executor_;
     net::connection_pool& connections_;
--- a/tests/gateway/forwarding_fixture.cpp
+++ b/tests/gateway/forwarding_fixture.cpp
@@ -157,6 +157,12 @@
     return server->failures().failure_share();
 }
 
+bool forwarding_fixture::is_cold(std::size_t index) const
+{
+    const auto server = context_.steerer.servers().find(core::server_id{"s" + std::to_string(index)});
+    return server->cold_start().is_cold();
+}
+
 std::string make_request(const std::string& id, const std::string& method, const std::string& fields,
                          const std::string& body)
 {
--- a/tests/gateway/forwarding_fixture.h
+++ b/tests/gateway/forwarding_fixture.h
@@ -60,6 +60,8 @@
     /** @returns the gateway's estimate of the share of failures of a server; call it on the gateway's thread.
      */
     [[nodiscard]] double failure_share_of(std::size_t index) const;
+    /** @returns whether the gateway takes a server for cold; call it on the gateway's thread. */
+    [[nodiscard]] bool is_cold(std::size_t index) const;
     /** Runs @p action on the gateway's thread, which is blocked until it returns. */
     void run_on_gateway_thread(const std::function<void()>& action);
 
--- a/tests/gateway/refusal_copy_test.cpp
+++ b/tests/gateway/refusal_copy_test.cpp
@@ -122,6 +122,32 @@
     REQUIRE(client.read_answer().starts_with("HTTP/1.1 502"));
 }
 
+// Guards against a load or a cold time that is believed although it may concern another request or server.
+TEST_CASE("what an answer states of its server is ignored unless the answer belongs to the request")
+{
+    constexpr const char* cold = "X-Cold: 60000\r\n";
+    const std::vector<std::string> answers{make_reply("503 Full", std::string("X-Not-Run: 1\r\n") + cold, ""),
+                                           make_reply("200 OK", std::string("X-Id: 7\r\n") + cold, ""),
+                                           make_reply("421 Other", std::string("X-Id: 7\r\n") + cold, "")};
+    for (const auto& answer : answers) {
+        INFO(answer);
+        std::atomic<int> requests = 0;
+        forwarding_fixture fixture({[&](const std::string&) {
+                                       return scripted_reply{requests++ == 0 ? make_signed_reply("6", "whole")
+                                                                             : answer};
+                                   }},
+                                   false);
+        test_client client(fixture.port());
+        client.send(make_request("6", "POST"));
+        REQUIRE(client.read_answer().starts_with("HTTP/1.1 200"));
+        client.send(make_request("7", "POST"));
+        REQUIRE_FALSE(client.read_answer().starts_with("HTTP/1.1 200"));
+        bool is_cold = true;
+        fixture.run_on_gateway_thread([&] { is_cold = fixture.is_cold(0); });
+        CHECK_FALSE(is_cold);
+    }
+}
+
 // Guards against "not run" for a request that runs when its caller sends it again.
 TEST_CASE("a copy of a refusal is not the answer to a request that its caller repeats")
 {
