Play refusals and their copies against real gateways

Cause: nothing played servers that send a refusal once more, entries of two processes at one address, or entries that are put anew; the soak removed the entry of a crashed server at the moment at which the next one started.

--- a/tests/platform/soak/request_records.h
+++ b/tests/platform/soak/request_records.h
@@ -32,8 +32,9 @@
     core::milliseconds ended{0};
     caller_result result = caller_result::pending;
     unsigned status = 0;
-    std::string reason;    ///< that an instance stated for an answer of its own
-    std::string violation; ///< what is wrong with the answer itself
+    std::string reason;                 ///< that an instance stated for an answer of its own
+    std::string violation;              ///< what is wrong with the answer itself
+    unsigned repeats_on_connection = 0; ///< arrivals at a server on a connection that had carried the request
     std::vector<server_arrival> arrivals;
 };
 
--- a/tests/platform/soak/server_stand_in.cpp
+++ b/tests/platform/soak/server_stand_in.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <set>
 
 namespace knapweed::soak {
 
@@ -19,6 +20,7 @@
 constexpr core::milliseconds slow_run{600};
 constexpr core::milliseconds queue_poll{2};
 constexpr core::milliseconds late_copy{20};
+constexpr core::milliseconds late_copy_of_refusal{5};
 /** Time from the start of a deadly request to the end of its server. */
 constexpr core::milliseconds time_to_end{15};
 constexpr double fault_share = 0.4; ///< of the answers, for faults of single answers
@@ -52,6 +54,7 @@
     limit_.reset();
     leaving_share_ = 0;
     rest_.reset();
+    refusals_ = {};
     acceptor_ = std::make_unique<net::tcp::acceptor>(executor_, address_);
     address_ = acceptor_->local_endpoint();
     asio::co_spawn(executor_, accept(), asio::detached);
@@ -120,25 +123,25 @@
 {
     const int process = starts_;
     boost::beast::flat_buffer buffer;
+    std::set<std::string> carried; // ids of the requests on this connection
     for (;;) {
         request call;
         const auto [error, bytes] = co_await http::async_read(*socket, buffer, call, net::as_result);
         if (error || process != starts_)
             co_return;
         const std::string request_id(call["Request-Id"]);
+        if (!carried.insert(request_id).second)
+            ++records_[request_id].repeats_on_connection;
         server_arrival arrival{id_, service_, history_.elapsed(), false};
         const bool wrong_server = call["Target-Instance"] != id_;
         const bool full = running_ >= slots && waiting_ >= queue;
-        if (wrong_server || full || rest_ || fault_ == server_fault::sheds) {
+        const bool picked = refusals_.refused_share > 0 && random_.fraction() < refusals_.refused_share;
+        if (wrong_server || full || rest_ || picked || fault_ == server_fault::sheds) {
             if (rest_)
                 arrival.rest = rest_->rest;
             if (!wrong_server)
                 records_[request_id].arrivals.push_back(arrival);
-            auto answer = make_answer(wrong_server ? 421 : 503, request_id);
-            answer.set("Not-Executed", "1");
-            if (rest_ && !wrong_server)
-                answer.set("Retry-After", rest_->text);
-            if (!co_await write(*socket, std::move(answer)))
+            if (!co_await refuse(*socket, request_id, wrong_server) || process != starts_)
                 co_return;
             continue;
         }
@@ -176,6 +179,31 @@
     }
 }
 
+/** Answers that a request was not run, and may send a copy of the answer. @returns whether the connection
+   stays open. */
+asio::awaitable<bool> server_stand_in::refuse(net::tcp::socket& socket, const std::string& request_id,
+                                              bool wrong_server)
+{
+    auto answer = make_answer(wrong_server ? 421 : 503, request_id);
+    answer.set("Not-Executed", "1");
+    if (rest_ && !wrong_server)
+        answer.set("Retry-After", rest_->text);
+    asio::steady_timer pause(executor_);
+    if (refusals_.longest_delay.count() > 0) {
+        const auto longest = static_cast<std::uint64_t>(refusals_.longest_delay.count());
+        pause.expires_after(core::milliseconds(random_.below(longest)));
+        co_await pause.async_wait(net::as_result);
+    }
+    if (!co_await write(socket, answer))
+        co_return false;
+    if (refusals_.copied_share <= 0 || random_.fraction() >= refusals_.copied_share)
+        co_return true;
+    pause.expires_after(late_copy_of_refusal);
+    co_await pause.async_wait(net::as_result);
+    ++copies_;
+    co_return co_await write(socket, std::move(answer));
+}
+
 /** Runs a request and answers it. @returns whether the connection stays open. */
 asio::awaitable<bool> server_stand_in::run(net::tcp::socket& socket, const request& call,
                                            const std::string& request_id)
--- a/tests/platform/soak/server_stand_in.h
+++ b/tests/platform/soak/server_stand_in.h
@@ -23,6 +23,13 @@
     core::milliseconds rest{0}; ///< that it means, 0 for none
 };
 
+/** How a server turns requests away beyond what its slots and its queue demand. */
+struct refusal_habits {
+    double refused_share = 0;            ///< of the requests, from 0 to 1
+    double copied_share = 0;             ///< of the refusals: a copy follows late
+    core::milliseconds longest_delay{0}; ///< before a refusal
+};
+
 /** A backend server: slots, a queue, the check of the expected id, and faults. */
 class server_stand_in {
 public:
@@ -40,6 +47,10 @@
     void set_leaving(double share) { leaving_share_ = share; }
     /** Turns all requests away and states a time of rest, or serves again. */
     void set_rest(std::optional<stated_rest> rest) { rest_ = std::move(rest); }
+    /** Has the server refuse more requests and copy refusals, until its process ends. */
+    void set_refusals(refusal_habits habits) { refusals_ = habits; }
+    /** @returns the number of copies of refusals that were sent. */
+    [[nodiscard]] std::size_t copies() const noexcept { return copies_; }
     /** Sets a function that is called when a request has ended the server. */
     void on_end(std::function<void()> hook) { on_end_ = std::move(hook); }
     /** Ends the process of the server: nobody listens, all connections are reset. */
@@ -54,6 +65,8 @@
 
     net::asio::awaitable<void> accept();
     net::asio::awaitable<void> serve(socket_pointer socket);
+    net::asio::awaitable<bool> refuse(net::tcp::socket& socket, const std::string& request_id,
+                                      bool wrong_server);
     net::asio::awaitable<bool> run(net::tcp::socket& socket, const request& call,
                                    const std::string& request_id);
     net::asio::awaitable<bool> write(net::tcp::socket& socket, response answer);
@@ -76,6 +89,8 @@
     std::optional<double> limit_;
     double leaving_share_ = 0;
     std::optional<stated_rest> rest_;
+    refusal_habits refusals_;
+    std::size_t copies_ = 0;
     std::function<void()> on_end_;
     unsigned running_ = 0;
     unsigned waiting_ = 0;
--- a/tests/platform/soak/soak_run.cpp
+++ b/tests/platform/soak/soak_run.cpp
@@ -26,6 +26,10 @@
 constexpr int leaving_per_run = 2;
 constexpr int resting_per_run = 2;
 constexpr int returns_of_store_per_run = 2;
+constexpr int copying_servers_per_run = 4;
+constexpr refusal_habits copying_refusals{0.2, 0.8, core::milliseconds(30)};
+/** The entry of a process that has crashed stays for this time after the next one has started. */
+constexpr core::milliseconds entry_lifetime{2000};
 /** A server that only its answers state to leave ends this long after the first of them. */
 constexpr core::milliseconds stated_drain_time{5000};
 /** The store comes back from a copy of at most this age. */
@@ -124,6 +128,8 @@
         ask_for_rest(at_apart());
     for (int i = 0; i < returns_of_store_per_run && !changes_.only_planned; ++i)
         return_older_store(at_apart());
+    for (int i = 0; i < copying_servers_per_run && !changes_.only_planned; ++i)
+        copy_refusals(at_apart());
 }
 
 /** A server states in its answers that it leaves; its entry in the store stays as it is. */
@@ -154,6 +160,18 @@
     schedule(at + duration, [&place] { place.server->set_rest(std::nullopt); });
 }
 
+/** A server refuses more requests than it must and sends copies of the refusals. */
+void soak_run::copy_refusals(core::milliseconds at)
+{
+    ++result_.faults;
+    auto& place = fleet_.servers()[statements_.below(fleet_.servers().size())];
+    schedule(at, [this, &place] {
+        fleet_.history().add("server_copies_refusals", {{"server", place.server->id()}});
+        place.server->set_refusals(copying_refusals);
+    });
+    schedule(at + longest_fault, [&place] { place.server->set_refusals({}); });
+}
+
 /** The store is away and comes back from an older copy of its rows. */
 void soak_run::return_older_store(core::milliseconds at)
 {
@@ -269,7 +287,8 @@
             place.server->crash();
         });
         return schedule(at + duration, [this, &place] {
-            fleet_.store().remove("servers", place.server->id());
+            const auto former = place.server->id();
+            schedule(entry_lifetime, [this, former] { fleet_.store().remove("servers", former); });
             place.server->restart();
             fleet_.write_server(place, false);
         });
--- a/tests/platform/soak/soak_run.h
+++ b/tests/platform/soak/soak_run.h
@@ -58,6 +58,7 @@
     void announce_leaving(core::milliseconds at);
     void ask_for_rest(core::milliseconds at);
     void return_older_store(core::milliseconds at);
+    void copy_refusals(core::milliseconds at);
     void note_disturbance(const std::string& concerned, core::milliseconds at, core::milliseconds duration);
     void check_statements();
     void stop_gateway(gateway_process& gateway, int signal);
--- a/tests/platform/soak/store_fleet.cpp
+++ b/tests/platform/soak/store_fleet.cpp
@@ -46,7 +46,7 @@
     return (&place - servers_.data()) % 2 == 0 ? "a" : "b";
 }
 
-void store_fleet::write_server(const server_place& place, bool leaving)
+void store_fleet::write_server(const server_place& place, bool leaving, std::uint64_t born)
 {
     store_.put(
         "servers", place.server->id(),
@@ -57,7 +57,7 @@
                {"zone", data_centre_of(place)},
                {"slots", 3}}},
              {"status", {{"state", leaving ? "draining" : "ready"}, {"sequence", 1}, {"coldLeftMs", 0}}},
-             {"born", 1}}
+             {"born", born}}
             .dump());
 }
 
--- a/tests/platform/soak/store_fleet.h
+++ b/tests/platform/soak/store_fleet.h
@@ -48,7 +48,8 @@
 
     void add_servers(const std::string& service, int number);
     [[nodiscard]] std::string data_centre_of(const server_place& place) const;
-    void write_server(const server_place& place, bool leaving);
+    /** @param born time of the start that the entry states. */
+    void write_server(const server_place& place, bool leaving, std::uint64_t born = 1);
     /** Writes a configuration. @param moved_to service to which the route `/moved/` leads. @param more_routes
        number of further routes, which nobody uses. @returns its size in bytes. */
     std::size_t write_configuration(unsigned version, const std::string& moved_to, unsigned more_routes = 0);
