Close no idle connection for a request that gets none

Callers could see: requests that find no connection to a server although idle ones were there before. Found by the review. Change: the connections in use are compared with the limit first. Measured: the new test got no connection for the next request before, passes now. Two more tests pass on both: connections that rested too long make room, the oldest first.

--- a/source/net/connection_pool.cpp
+++ b/source/net/connection_pool.cpp
@@ -46,16 +46,17 @@
 std::unique_ptr<client_connection> connection_pool::open_new(const std::string& address, address_entry& entry,
                                                              std::size_t limit)
 {
-    // Idle connections that the request can't use make room for a new one.
-    while (*entry.open_count >= limit && !entry.idle.empty())
-        entry.idle.pop_front();
-    if (*entry.open_count >= limit) {
+    const auto in_use = *entry.open_count - entry.idle.size();
+    if (in_use >= limit) {
         reports_.add(counter::upstream_connections_limited);
         return nullptr;
     }
     const auto remote = parse_address(address);
     if (!remote)
         return nullptr;
+    // Idle connections that the request can't use make room for a new one.
+    while (*entry.open_count >= limit)
+        entry.idle.pop_front();
     reports_.add(counter::upstream_connections_opened);
     ++*entry.open_count;
     return std::make_unique<client_connection>(executor_, ++opened_, address, *remote, entry.open_count);
--- a/tests/net/connection_pool_test.cpp
+++ b/tests/net/connection_pool_test.cpp
@@ -29,9 +29,19 @@
 public:
     using connection_pointer = std::unique_ptr<net::client_connection>;
 
-    [[nodiscard]] connection_pointer acquire(std::uint64_t id_hash, std::size_t limit = 16)
+    [[nodiscard]] connection_pointer acquire(std::uint64_t id_hash, std::size_t limit = 16,
+                                             core::duration longest_idle = std::chrono::seconds(60))
     {
-        return pool.acquire(server.address(), limit, std::chrono::seconds(60), id_hash);
+        return pool.acquire(server.address(), limit, longest_idle, id_hash);
+    }
+
+    /** @returns a connection that has carried a request and is still in use. */
+    [[nodiscard]] connection_pointer acquire_and_use(std::uint64_t id_hash, std::size_t limit = 16)
+    {
+        auto connection = acquire(id_hash, limit);
+        REQUIRE(connection);
+        use(*connection);
+        return connection;
     }
 
     /** Has a connection carry one request to its end. */
@@ -95,6 +105,37 @@
     CHECK(fixture.acquire(3, 1) == nullptr);
 }
 
+// Guards against a request that finds no connection although only ones that rested too long hold the places.
+TEST_CASE("connections that rested too long make room at the limit, the oldest first")
+{
+    pool_fixture fixture;
+    auto first = fixture.acquire_and_use(1, 2);
+    auto second = fixture.acquire_and_use(2, 2);
+    const auto kept = second->number();
+    fixture.pool.release(std::move(first));
+    fixture.pool.release(std::move(second));
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    const auto third = fixture.acquire(3, 2, std::chrono::milliseconds(10));
+    REQUIRE(third);
+    CHECK(third->number() == 3);
+    const auto again = fixture.acquire(4, 2);
+    REQUIRE(again);
+    CHECK(again->number() == kept);
+    CHECK(fixture.acquire(5, 2) == nullptr);
+}
+
+// Guards against idle connections that are closed for a request that gets none all the same.
+TEST_CASE("a request that can't get a connection closes no idle one")
+{
+    pool_fixture fixture;
+    const auto in_use = fixture.acquire_and_use(1, 2);
+    const auto idle = fixture.send(2, 2);
+    CHECK(fixture.acquire(2, 1) == nullptr); // the limit has fallen
+    const auto again = fixture.acquire(3, 1);
+    REQUIRE(again);
+    CHECK(again->number() == idle);
+}
+
 // Guards against memory that grows with the requests of a connection, and against ids that are forgotten.
 TEST_CASE("a connection that can't keep another request id is replaced")
 {
