Skip the copies of several refusals before an answer

Callers saw: 502 for a request that a server ran, when copies of three or more earlier refusals arrived first. Cause: at most two answers to other requests were skipped, and interim answers were counted over all of them. Change: up to 16 are skipped, each with up to four interim answers. A test with three attempts and two servers checks that a request behind a copy runs once; unused members of the refusal test are gone.

--- a/source/gateway/upstream_exchange.cpp
+++ b/source/gateway/upstream_exchange.cpp
@@ -16,10 +16,11 @@
 /** Body bytes that are read before an answer is delivered. If the answer breaks off within them, the request
    can be retried on another server, because the caller has received nothing yet. */
 constexpr std::size_t max_buffered_bytes = 32768;
-/** Answers to earlier requests that are skipped on one connection before the attempt fails. */
-constexpr unsigned max_stale_answers = 2;
+/** Answers to earlier requests that are skipped on one connection before the attempt fails. A server that
+   copies its refusals may have refused several requests before. */
+constexpr unsigned max_stale_answers = 16;
 constexpr std::size_t max_stale_answer_bytes = 1U << 20U;
-/** Interim answers (1xx) that may precede the answer. */
+/** Interim answers (1xx) that may precede an answer. */
 constexpr int max_interim_answers = 4;
 constexpr double bytes_per_kilobyte = 1024;
 
@@ -76,6 +77,7 @@
             // A late answer to an earlier request on this connection; the answer to this request may follow.
             must_discard_connection_ = true;
             ++place_.skipped_answers;
+            interim_answers = 0;
             if (!co_await skip_body())
                 co_return false;
         }
--- a/source/gateway/upstream_exchange.h
+++ b/source/gateway/upstream_exchange.h
@@ -22,7 +22,7 @@
 
     /** Takes a connection for one attempt, which has not carried the request before. @param limit of open
        connections to the address. @param longest_idle a connection that was idle for longer is not used.
-        @returns false when @p limit connections are open or the address is malformed. */
+        @returns false when @p limit connections are in use or the address is malformed. */
     [[nodiscard]] bool acquire(const std::string& address, std::size_t limit, core::duration longest_idle);
     [[nodiscard]] bool connected() const { return connection_->connected(); }
     /** Opens the connection. @param limit after which the attempt ends. */
--- a/tests/gateway/forwarding_fixture.cpp
+++ b/tests/gateway/forwarding_fixture.cpp
@@ -27,7 +27,7 @@
     return "test" + std::to_string(fixtures++);
 }
 
-steering::traffic_policy make_policy(bool idempotent, core::milliseconds timeout)
+steering::traffic_policy make_policy(bool idempotent, core::milliseconds timeout, unsigned max_attempts)
 {
     steering::route route;
     route.name = "r";
@@ -36,7 +36,7 @@
     route.idempotent = idempotent;
     route.timeout = timeout;
     route.target_latency = timeout;
-    route.max_attempts = 2;
+    route.max_attempts = max_attempts;
     route.shares = {{core::service_id{"orders"}, 1}};
     steering::traffic_policy policy;
     policy.version = 1;
@@ -49,7 +49,7 @@
 } // namespace
 
 forwarding_fixture::forwarding_fixture(std::vector<std::function<scripted_reply(const std::string&)>> scripts,
-                                       bool idempotent, core::milliseconds timeout)
+                                       bool idempotent, core::milliseconds timeout, unsigned max_attempts)
     : log_({make_log_name()}, time_, discarded_output()),
       steerer_({core::instance_id{"i"}, {core::data_centre_id{"a"}, core::region_id{"r"}}, small_capacity},
                time_),
@@ -63,7 +63,7 @@
                make_context([this](auto exchange) { return forward_relayed(std::move(exchange)); }), 64)
 {
     steerer_.servers().set_regions({{core::data_centre_id{"a"}, core::region_id{"r"}}});
-    (void)steerer_.apply(make_policy(idempotent, timeout));
+    (void)steerer_.apply(make_policy(idempotent, timeout, max_attempts));
     for (std::size_t i = 0; i < scripts.size(); ++i) {
         servers_.push_back(std::make_unique<upstream_fake>(scripts[i]));
         steerer_.servers().put(make_record(i));
--- a/tests/gateway/forwarding_fixture.h
+++ b/tests/gateway/forwarding_fixture.h
@@ -35,10 +35,10 @@
 class forwarding_fixture {
 public:
     /** @param scripts a server is started for each. @param idempotent whether the route's requests may run
-        more than once. */
+        more than once. @param max_attempts servers to which a request may be sent. */
     explicit forwarding_fixture(std::vector<std::function<scripted_reply(const std::string&)>> scripts,
-                                bool idempotent = true,
-                                core::milliseconds timeout = core::milliseconds(5000));
+                                bool idempotent = true, core::milliseconds timeout = core::milliseconds(5000),
+                                unsigned max_attempts = 2);
     forwarding_fixture(const forwarding_fixture&) = delete;
     forwarding_fixture& operator=(const forwarding_fixture&) = delete;
     ~forwarding_fixture();
--- a/tests/gateway/refusal_copy_test.cpp
+++ b/tests/gateway/refusal_copy_test.cpp
@@ -22,6 +22,19 @@
     bool idempotent = false;
 };
 
+constexpr std::size_t servers_in_play = 2;
+
+bool is_request(const std::string& request, const std::string& id)
+{
+    return request.find("X-Id: " + id + "\r\n") != std::string::npos;
+}
+
+std::string refusal_of(const std::string& id, const std::string& status = "503 Full")
+{
+    return make_reply(
+        status, "X-Id: " + id + "\r\nX-Not-Run: 1\r\nRetry-After: 0.001\r\nKeep-Alive: timeout=10\r\n", "no");
+}
+
 /** A server that refuses the first request that it gets and runs the others. */
 class copying_server {
 public:
@@ -153,3 +166,67 @@
 {
     play_all(second_way::repeated_id, {"503 Full", "429 Many", "400 Bad"});
 }
+
+// Guards against a request whose answer is not awaited because several refused requests came before.
+TEST_CASE("the copies of several refusals on a connection are skipped")
+{
+    for (const int refusals : {1, 2, 4, 8}) {
+        std::atomic<int> ran = 0;
+        std::string copies;
+        forwarding_fixture fixture({[&](const std::string& request) {
+                                       if (is_request(request, "run")) {
+                                           ++ran;
+                                           return scripted_reply{copies + make_signed_reply("run", "whole")};
+                                       }
+                                       const auto begin = request.find("X-Id: ") + 6;
+                                       const auto id =
+                                           request.substr(begin, request.find('\r', begin) - begin);
+                                       copies += "HTTP/1.1 103 Early Hints\r\n\r\n" + refusal_of(id);
+                                       return scripted_reply{refusal_of(id)};
+                                   }},
+                                   false, core::milliseconds(1000));
+        test_client client(fixture.port());
+        for (int i = 0; i < refusals; ++i) {
+            client.send(make_request("refused" + std::to_string(i), "POST"));
+            REQUIRE(client.read_answer().starts_with("HTTP/1.1 503"));
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        client.send(make_request("run", "POST"));
+        const auto answer = client.read_answer();
+        INFO(refusals << " refusals, ran " << ran << ", " << answer);
+        CHECK(answer.starts_with("HTTP/1.1 200"));
+    }
+}
+
+// Guards against a request that runs at another server because a copy of a refusal is believed.
+TEST_CASE("a request that a copy of a refusal precedes runs at one server only")
+{
+    for (const std::string status : {"421 Other", "503 Full"}) {
+        INFO(status);
+        std::atomic<std::size_t> refusing = servers_in_play;
+        std::atomic<int> ran = 0;
+        forwarding_fixture* known = nullptr;
+        const auto serve = [&](std::size_t index) {
+            return [&, index](const std::string&) {
+                auto nobody = servers_in_play;
+                if (!refusing.compare_exchange_strong(nobody, index)) {
+                    ++ran;
+                    return scripted_reply{make_signed_reply("7", "ran")};
+                }
+                const bool is_new_process = status.starts_with("421");
+                known->put_entry(index, is_new_process ? "another" : "s" + std::to_string(index), 2);
+                scripted_reply reply{refusal_of("7", status)};
+                reply.before_next = reply.bytes;
+                return reply;
+            };
+        };
+        forwarding_fixture fixture({serve(0), serve(1)}, false, core::milliseconds(2000), 3);
+        known = &fixture;
+        test_client client(fixture.port());
+        client.send(make_request("7", "POST"));
+        const auto answer = client.read_answer();
+        INFO("the caller got " << answer);
+        CHECK(ran == 1);
+        CHECK(answer.starts_with("HTTP/1.1 200"));
+    }
+}
--- a/tests/platform/refusal/refusal_run.cpp
+++ b/tests/platform/refusal/refusal_run.cpp
@@ -132,7 +132,7 @@
         if (!fleet_.concerns_previous_program(record))
             repeats += record.repeats_on_connection;
     }
-    auto copies = copies_;
+    std::size_t copies = 0;
     for (const auto& place : fleet_.servers())
         copies += place.server->copies();
     result_.summary = std::to_string(fleet_.records().size()) + " requests, " + std::to_string(successes) +
--- a/tests/platform/refusal/refusal_run.h
+++ b/tests/platform/refusal/refusal_run.h
@@ -48,7 +48,6 @@
     store_fleet fleet_;
     refusal_result result_;
     std::uint64_t last_born_ = 1;
-    std::size_t copies_ = 0; ///< of the processes that have ended
     bool finished_ = false;
 };
 
