Believe an answer of a backend server only if it belongs to this run

Callers of knapweedd could see: a refusal of a request that a server runs, or the answer to another request. Cause: dispatch_runner took the next answer on a kept connection for that to its run. A late copy of an earlier refusal (503, Knapweed-Not-Run) let a run that may have happened be sent to another server; a copy of an earlier success was passed on. Change: backend servers repeat Knapweed-Run-Id, which is unique for each attempt, in their answers; the stand-in does. Answers with another id are skipped, at most two of 1 MiB each, and the connection is not kept then. An answer without the id counts only as the first one on a new connection, which is not kept either. Otherwise the attempt is `broken`. Hops to other instances are unchanged: knapweedd answers each request once, after its dispatch has ended. A server that doesn't repeat the id costs a connection for each run; that price was not measured.

--- a/source/decision/request.h
+++ b/source/decision/request.h
@@ -42,7 +42,7 @@
     not_sent,  ///< nothing of the request was written: it was not run
     refused,   ///< a peer or server reported that it did not run the request
     unknown,   ///< a peer reported that the outcome is unknown
-    broken,    ///< the connection broke after the first byte of the request was written
+    broken,    ///< the request may have been sent, and no answer came that surely belongs to it
     truncated, ///< the answer began but ended before it was complete
     timed_out, ///< no complete answer arrived before the deadline
     cancelled  ///< cancelled by `cancel_dispatch`; the request may have run in part
--- a/source/net/dispatch_runner.cpp
+++ b/source/net/dispatch_runner.cpp
@@ -20,6 +20,10 @@
 // fewer.
 constexpr std::size_t peer_connection_limit = 512;
 constexpr std::size_t default_server_connection_limit = 64;
+/** Answers to other runs that are skipped before an attempt counts as broken. */
+constexpr unsigned max_stale_answers = 2;
+constexpr std::size_t max_stale_answer_bytes = std::size_t{1} << 20U;
+constexpr std::string_view run_id_field = "Knapweed-Run-Id";
 // One round trip between the most distant regions takes 110 ms; a lost SYN is retransmitted after 1 s.
 constexpr core::milliseconds connect_limit{1500};
 constexpr core::milliseconds cancellation_limit{1000};
@@ -95,6 +99,20 @@
     return result;
 }
 
+/** Reads the rest of an answer that isn't used. @returns whether it was read to its end within the limit. */
+asio::awaitable<bool> skip_body(client_connection& connection, std::size_t limit)
+{
+    std::vector<char> buffer(4096);
+    std::size_t total = 0;
+    while (!connection.complete() && total < limit) {
+        const auto read = co_await connection.read_some(buffer);
+        if (read.error)
+            co_return false;
+        total += read.bytes;
+    }
+    co_return connection.complete();
+}
+
 } // namespace
 
 /** One transmission of a request to a peer or backend server. */
@@ -110,6 +128,7 @@
 
     std::unique_ptr<client_connection> connection;
     bool request_sent = false;                  ///< at least one byte of the request may have been written
+    bool must_discard_connection = false;       ///< a later answer on it might belong to another run
     bool streaming = false;                     ///< the head of the answer was sent to the caller
     std::optional<dispatch_status> stop_reason; ///< why the attempt was stopped, if it was
 };
@@ -155,7 +174,7 @@
     if (new_attempt->caller_exchange) {
         new_attempt->request.fields = {
             {"Knapweed-Timeout-Ms", std::to_string(std::max<std::int64_t>(action.timeout.count(), 1))},
-            {"Knapweed-Run-Id", new_attempt->run_id}};
+            {std::string(run_id_field), new_attempt->run_id}};
         add_identity_fields(new_attempt->caller_exchange->request(), new_attempt->request);
         new_attempt->request.target = new_attempt->caller_exchange->request().backend_target;
         add_payload_fields(new_attempt->caller_exchange->request(), new_attempt->request);
@@ -219,7 +238,7 @@
         if (ended.streaming && result.status == dispatch_status::cancelled)
             result.status = dispatch_status::truncated;
     }
-    if (conclusive)
+    if (conclusive && !ended.must_discard_connection)
         connections_.release(std::move(ended.connection));
     ended.connection.reset();
     if (result.status == dispatch_status::truncated) {
@@ -252,12 +271,15 @@
     result.status = dispatch_status::broken;
     if (written.error)
         co_return result;
-    const auto head_error = co_await running.connection->read_head();
-    if (head_error)
+    const bool is_answered = co_await read_answer_head(running);
+    if (!is_answered)
         co_return result;
-    if (auto head_result = read_head_result(*running.connection, running.to_server))
-        co_return co_await read_refusal(running, std::move(*head_result));
-    co_return co_await stream_answer(running);
+    const auto head_result = read_head_result(*running.connection, running.to_server);
+    if (!head_result)
+        co_return co_await stream_answer(running);
+    // The head has determined the result; the connection can be reused if the rest is read.
+    co_await skip_body(*running.connection, refusal_body_limit_bytes);
+    co_return *head_result;
 }
 
 asio::awaitable<bool> dispatch_runner::connect(attempt& running)
@@ -269,19 +291,28 @@
     co_return !connect_error && !running.stop_reason;
 }
 
-/** Reads the rest of a refusal so that the connection can be reused. The head has determined the result. */
-asio::awaitable<decision::dispatch_result> dispatch_runner::read_refusal(attempt& running,
-                                                                         decision::dispatch_result result)
+/** Reads up to the head of this attempt's answer. A server may send the copy of an answer late, on a
+    connection that is in use for the next run; another instance answers each request once.
+    @returns whether an answer came that belongs to this attempt. */
+asio::awaitable<bool> dispatch_runner::read_answer_head(attempt& running)
 {
-    std::vector<char> buffer(4096);
-    std::size_t total = 0;
-    while (!running.connection->complete() && total < refusal_body_limit_bytes) {
-        const auto read = co_await running.connection->read_some(buffer);
-        if (read.error)
-            break;
-        total += read.bytes;
+    auto& connection = *running.connection;
+    for (unsigned skipped = 0; skipped <= max_stale_answers; ++skipped) {
+        const auto head_error = co_await connection.read_head();
+        if (head_error)
+            co_return false;
+        const auto run_id = connection.field(run_id_field);
+        if (!running.to_server || run_id == running.run_id)
+            co_return true;
+        running.must_discard_connection = true;
+        if (run_id.empty())
+            co_return !connection.reused() && skipped == 0;
+        const bool is_skipped = co_await skip_body(connection, max_stale_answer_bytes);
+        if (!is_skipped)
+            co_return false;
+        connection.expect_next_answer();
     }
-    co_return result;
+    co_return false;
 }
 
 asio::awaitable<decision::dispatch_result> dispatch_runner::stream_answer(attempt& running)
--- a/source/net/dispatch_runner.h
+++ b/source/net/dispatch_runner.h
@@ -48,8 +48,7 @@
     void finish(attempt& ended, decision::dispatch_result result);
     asio::awaitable<decision::dispatch_result> transfer(attempt& running);
     asio::awaitable<bool> connect(attempt& running);
-    asio::awaitable<decision::dispatch_result> read_refusal(attempt& running,
-                                                            decision::dispatch_result result);
+    asio::awaitable<bool> read_answer_head(attempt& running);
     asio::awaitable<decision::dispatch_result> stream_answer(attempt& running);
     void cancel_run(const attempt& ended);
 
--- a/tests/net/network_fixture.h
+++ b/tests/net/network_fixture.h
@@ -62,13 +62,14 @@
 
     /** Sends a POST and dispatches it to an upstream. @returns the exchange. */
     core::exchange_id post_and_dispatch(test_client& client, const std::string& address,
-                                        core::milliseconds timeout = core::milliseconds(20000))
+                                        core::milliseconds timeout = core::milliseconds(20000),
+                                        core::dispatch_id dispatch = {1})
     {
         client.send("POST /v1/services/orders/new HTTP/1.1\r\nHost: e1\r\nKnapweed-Caller: c\r\n"
                     "Idempotency-Key: k\r\nContent-Length: 5\r\n\r\nhello");
         const auto received = next_event<decision::request_received>();
-        send_action(
-            decision::dispatch_to_server{received.exchange, {1}, core::server_id{"b1"}, address, timeout, 4});
+        send_action(decision::dispatch_to_server{received.exchange, dispatch, core::server_id{"b1"}, address,
+                                                 timeout, 4});
         return received.exchange;
     }
 
--- a/tests/stand_ins/backend/backend_server.cpp
+++ b/tests/stand_ins/backend/backend_server.cpp
@@ -63,7 +63,11 @@
         co_return cancel(path.substr(runs_prefix.size()));
     if (request.method() == http::verb::post && path == "/control")
         co_return handle_control_request(request);
-    co_return co_await run(std::move(request), std::move(target));
+    const std::string run_id = header(request, "Knapweed-Run-Id");
+    auto response = co_await run(std::move(request), std::move(target));
+    if (response && !run_id.empty())
+        response->set("Knapweed-Run-Id", run_id);
+    co_return response;
 }
 
 asio::awaitable<std::optional<http_response>> backend_server::run(http_request request, request_target target)
--- a/tests/stand_ins_tests/backend_server_test.cpp
+++ b/tests/stand_ins_tests/backend_server_test.cpp
@@ -60,6 +60,25 @@
     REQUIRE(read("/statistics")["most_slots_in_use"] == 2);
 }
 
+// Guards against answers that can't be told from late copies of answers to other runs.
+TEST_CASE_METHOD(backend_fixture, "an answer repeats the id of its run")
+{
+    const auto run_id_of_answer = [this](const std::string& run_id) {
+        const auto headers = std::map<std::string, std::string>{{"Knapweed-Run-Id", run_id}};
+        return header(call(server.port(), http::verb::post, "/work", "", headers).response,
+                      "Knapweed-Run-Id");
+    };
+    REQUIRE(run_id_of_answer("k1") == "k1");
+    start_long_run("k2", first_result);
+    start_long_run("k3", second_result);
+    REQUIRE(run_id_of_answer("k4") == "k4"); // shed
+    call(server.port(), http::verb::delete_, "/runs/k2");
+    run_until([this] { return first_result.has_value(); });
+    REQUIRE(header(first_result->response, "Knapweed-Run-Id") == "k2");
+    const exchange_result without_id = call(server.port(), http::verb::post, "/work");
+    REQUIRE_FALSE(without_id.response.count("Knapweed-Run-Id"));
+}
+
 // Guards against a cancelled run that keeps its slot.
 TEST_CASE_METHOD(backend_fixture, "a run ends and frees its slot when it is cancelled")
 {
