Decide for each answer on a connection whether it has a body

Cause: callers of HEAD requests got 504 behind an interim answer, and 502 behind the copy of a refusal although the server ran the request; a POST behind the copy of a refused HEAD request got 502 as well. The parser was told "no body" once, for the first answer after a HEAD request. An interim answer starts a new parser, and a copy belongs to another request, which may or may not have been a HEAD request. Change: a connection remembers which of the requests that it has carried are HEAD requests. Once it has carried one, the head of each answer is read before the parser learns whether a body follows; the id in the head names the request. Connections without HEAD requests take the same path as before.

--- a/source/gateway/upstream_exchange.cpp
+++ b/source/gateway/upstream_exchange.cpp
@@ -59,7 +59,7 @@
     if (written.error)
         must_discard_connection_ = true;
     if (request.method == "HEAD")
-        connection_->expect_no_body();
+        connection_->carried().mark_bodiless(request_id_hash_);
     co_return true;
 }
 
@@ -68,7 +68,7 @@
     constexpr unsigned first_final_status = 200;
     int interim_answers = 0;
     while (interim_answers <= max_interim_answers && place_.skipped_answers <= max_stale_answers) {
-        if (co_await connection_->read_head())
+        if (co_await connection_->read_head(make_bodiless_rule()))
             co_return false;
         if (connection_->status() < first_final_status) {
             ++interim_answers;
@@ -89,6 +89,18 @@
     co_return false;
 }
 
+/** Copies of answers to earlier requests on the connection may be HEAD requests' or not, whatever this one
+ * is. */
+net::bodiless_rule upstream_exchange::make_bodiless_rule() const
+{
+    if (!connection_->carried().any_bodiless())
+        return {};
+    return [this](const auto& field) {
+        const auto id = field(dialect_.request_id_field);
+        return connection_->carried().is_bodiless(id.empty() ? request_id_hash_ : core::hash_text(id));
+    };
+}
+
 asio::awaitable<bool> upstream_exchange::skip_body()
 {
     std::array<char, 2048> skipped{};
--- a/source/gateway/upstream_exchange.h
+++ b/source/gateway/upstream_exchange.h
@@ -66,6 +66,9 @@
     /** Reads the body of an answer to another request. @returns false when the connection failed or the body
        is too long. */
     net::asio::awaitable<bool> skip_body();
+    /** @returns a rule that finds the answers to HEAD requests, or none if the connection has carried none.
+     */
+    [[nodiscard]] net::bodiless_rule make_bodiless_rule() const;
     void extract_load(steering::attempt_result& result) const;
     void extract_notice(steering::attempt_result& result) const;
 
--- a/source/net/client_connection.cpp
+++ b/source/net/client_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "net/message_limits.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -16,6 +17,7 @@
 namespace {
 
 constexpr std::uint32_t answer_header_limit_bytes = 64 * 1024;
+constexpr std::size_t read_bytes = 2048;
 
 std::string_view view(beast::string_view text)
 {
@@ -96,18 +98,47 @@
     co_return transfer_result{error, bytes};
 }
 
-void client_connection::expect_no_body()
-{
-    state_->parser->skip(true);
-}
-
 void client_connection::expect_next_answer()
 {
     state_->expect_answer();
 }
 
-asio::awaitable<error_code> client_connection::read_head()
+asio::awaitable<error_code> client_connection::decide_body(const bodiless_rule& is_bodiless)
+{
+    auto& buffer = state_->buffer;
+    const auto received = [&buffer] {
+        return std::string_view(static_cast<const char*>(buffer.data().data()), buffer.size());
+    };
+    while (received().find("\r\n\r\n") == std::string_view::npos) {
+        const auto room = std::min(read_bytes, buffer.max_size() - buffer.size());
+        if (room == 0)
+            co_return http::error::header_limit;
+        auto [error, bytes] = co_await state_->socket.async_read_some(buffer.prepare(room), as_result);
+        if (error)
+            co_return error;
+        buffer.commit(bytes);
+    }
+    // The parser must know whether a body follows before it reads the head, so another one reads it first.
+    http::response_parser<http::empty_body> head;
+    head.header_limit(answer_header_limit_bytes);
+    head.skip(true);
+    error_code error;
+    head.put(buffer.data(), error);
+    if (!error) {
+        state_->parser->skip(is_bodiless([&head](std::string_view name) {
+            return view(head.get()[beast::string_view(name.data(), name.size())]);
+        }));
+    }
+    co_return error;
+}
+
+asio::awaitable<error_code> client_connection::read_head(bodiless_rule is_bodiless)
 {
+    if (is_bodiless) {
+        const auto head_error = co_await decide_body(is_bodiless);
+        if (head_error)
+            co_return head_error;
+    }
     auto [error, bytes] =
         co_await http::async_read_header(state_->socket, state_->buffer, *state_->parser, as_result);
     co_return error;
--- a/source/net/client_connection.h
+++ b/source/net/client_connection.h
@@ -37,6 +37,10 @@
     std::size_t bytes = 0;
 };
 
+/** Decides from the head of an answer whether the answer has no body although it may state a length, such as
+   one to a HEAD request. The function that it receives returns the value of a field, empty when absent. */
+using bodiless_rule = std::function<bool(const std::function<std::string_view(std::string_view)>&)>;
+
 /** One HTTP/1.1 client connection. It sets no timeouts; a caller that needs one calls `close`, which ends
     every pending operation.
 */
@@ -69,16 +73,13 @@
     /** Writes a request. @param head complete, including its final empty line. @see write */
     asio::awaitable<transfer_result> write_message(std::string_view head, std::string_view body);
 
-    /** Makes the parser treat the next answer as one without a body, even if its head states a length, such
-        as the answer to a HEAD request. */
-    void expect_no_body();
-
     /** Discards an answer that was read to its end and prepares to read the next one, such as the final
         answer after an interim one. */
     void expect_next_answer();
 
-    /** Reads the head of the answer. A head that exceeds the size limit gives an error. */
-    asio::awaitable<error_code> read_head();
+    /** Reads the head of the answer. A head that exceeds the size limit gives an error.
+        @param is_bodiless if set, decides whether the answer has no body. */
+    asio::awaitable<error_code> read_head(bodiless_rule is_bodiless = {});
 
     [[nodiscard]] unsigned status() const;
     [[nodiscard]] std::string_view reason() const;
@@ -115,6 +116,9 @@
 private:
     struct state;
 
+    /** Receives a whole head, which stays in the buffer, and sets whether the parser expects a body. */
+    asio::awaitable<error_code> decide_body(const bodiless_rule& is_bodiless);
+
     std::uint64_t number_;
     std::string address_;
     tcp::endpoint remote_;
