Pass no request on behind one whose answer may break off

Callers that had sent requests behind a download lost them when the download broke off: the instance closed the connection, as it must, and with it requests that sound servers were running (LOST). Requests were passed on as they were read, whatever the answer before them was. Change: pass_on_order (no I/O) decides for one connection which requests may be passed on: none behind an answer that is written in parts, or behind a request that waits itself. Answers on routes of downloads are taken to be written in parts; any other answer is, beyond 32 kB, held until it is whole if requests behind it were passed on: up to 1 MiB, 16 MiB an instance. Weighed and left: one request after the other on each connection (reads behind reads would wait, too); holding downloads whole (memory). With the order's rules taken out, pipelined_request_test.cpp fails (3 requests at the server instead of 1; an answer broken off in front of two others). What remains: an answer of more than 1 MiB on a route that isn't for downloads, or beyond the 16 MiB, still closes the connection when it breaks off.

--- a/source/gateway/caller_exchange.cpp
+++ b/source/gateway/caller_exchange.cpp
@@ -83,21 +83,45 @@
 void caller_exchange::mark_disconnected()
 {
     caller_disconnected_ = true;
-    if (turn_signal_)
-        turn_signal_->cancel();
+    if (signal_)
+        signal_->cancel();
     if (auto callback = std::exchange(on_caller_disconnected_, nullptr))
         callback();
 }
 
 net::asio::awaitable<bool> caller_exchange::wait_for_turn()
 {
-    while (!caller_disconnected_ && !session_->is_next_to_answer(*this)) {
-        turn_signal_.emplace(session_->executor(), net::asio::steady_timer::time_point::max());
-        co_await turn_signal_->async_wait(net::as_result);
-    }
+    while (!caller_disconnected_ && !session_->is_next_to_answer(*this))
+        co_await wait_for_signal();
+    co_return !caller_disconnected_;
+}
+
+net::asio::awaitable<void> caller_exchange::wait_for_signal()
+{
+    signal_.emplace(session_->executor(), net::asio::steady_timer::time_point::max());
+    co_await signal_->async_wait(net::as_result);
+}
+
+net::asio::awaitable<bool> caller_exchange::wait_to_pass_on()
+{
+    while (!caller_disconnected_ && !session_->order_.may_pass_on(number_))
+        co_await wait_for_signal();
     co_return !caller_disconnected_;
 }
 
+void caller_exchange::pass_on(bool in_parts)
+{
+    if (caller_disconnected_)
+        return;
+    session_->order_.begin(number_, in_parts);
+    session_->notify_exchanges();
+}
+
+bool caller_exchange::others_passed_on_behind() const
+{
+    return !caller_disconnected_ && session_->order_.any_begun_behind(number_);
+}
+
 std::string caller_exchange::make_head(const answer_head& head, std::string_view framing,
                                        bool keep_alive) const
 {
@@ -118,6 +142,7 @@
 
 net::asio::awaitable<bool> caller_exchange::answer(const answer_head& head, std::string_view body)
 {
+    pass_on(false);
     if (!co_await wait_for_turn())
         co_return false;
     keep_alive_ = !session_->lifetime_.next_answer_closes();
@@ -134,6 +159,8 @@
 net::asio::awaitable<bool> caller_exchange::begin_answer(const answer_head& head,
                                                          std::optional<std::uint64_t> length)
 {
+    if (!caller_disconnected_)
+        session_->order_.expect_parts(number_);
     if (!co_await wait_for_turn())
         co_return false;
     keep_alive_ = !session_->lifetime_.next_answer_closes();
--- a/source/gateway/caller_exchange.h
+++ b/source/gateway/caller_exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/core.h"
+#include "gateway/pass_on_order.h"
 #include "net/asio_types.h"
 #include "net/client_connection.h"
 
@@ -68,6 +69,14 @@
         on_caller_disconnected_ = std::move(callback);
     }
 
+    /** Waits until the request may be passed on to a server. @returns false when the caller has disconnected.
+        @see pass_on_order */
+    net::asio::awaitable<bool> wait_to_pass_on();
+    /** Records that the request is passed on. @param in_parts its answer is known to be written in parts. */
+    void pass_on(bool in_parts);
+    /** @returns whether requests behind this one on the connection have been passed on. */
+    [[nodiscard]] bool others_passed_on_behind() const;
+
     /** Writes a complete answer. */
     net::asio::awaitable<bool> answer(const answer_head& head, std::string_view body);
 
@@ -88,11 +97,13 @@
     [[nodiscard]] std::string make_head(const answer_head& head, std::string_view framing,
                                         bool keep_alive) const;
     net::asio::awaitable<bool> wait_for_turn();
+    net::asio::awaitable<void> wait_for_signal();
 
     std::shared_ptr<caller_session> session_;
     caller_request request_;
+    pass_on_order::request_number number_ = 0; ///< assigned by the session
     std::function<void()> on_caller_disconnected_;
-    std::optional<net::asio::steady_timer> turn_signal_; ///< cancelled when all earlier requests are answered
+    std::optional<net::asio::steady_timer> signal_; ///< cancelled when the connection's other requests get on
     bool caller_disconnected_ = false;
     bool chunked_ = false;
     bool keep_alive_ = true;
--- a/source/gateway/caller_session.cpp
+++ b/source/gateway/caller_session.cpp
@@ -206,6 +206,7 @@
 void caller_session::start(std::shared_ptr<caller_exchange> exchange, const session_context::handler& handle)
 {
     lifetime_.request_taken(exchange->request().keep_alive);
+    exchange->number_ = order_.add();
     exchanges_.push_back(exchange);
     asio::co_spawn(executor(), handle(std::move(exchange)),
                    [session = shared_from_this()](const std::exception_ptr& error) {
@@ -263,15 +264,24 @@
         return; // the connection has been closed
     exchanges_.front()->on_caller_disconnected_ = nullptr;
     exchanges_.pop_front();
+    order_.remove_first();
     phase_began_ = context_->time.now();
     if (!keep_alive)
         shut_down_sending();
-    else if (!exchanges_.empty() && exchanges_.front()->turn_signal_)
-        exchanges_.front()->turn_signal_->cancel();
+    else
+        notify_exchanges();
     if (slot_signal_)
         slot_signal_->cancel();
 }
 
+void caller_session::notify_exchanges()
+{
+    for (const auto& exchange : exchanges_) {
+        if (exchange->signal_)
+            exchange->signal_->cancel();
+    }
+}
+
 /** Shuts down the sending side after the last answer; the receiving side stays open. Closing a socket with
    unread bytes would reset the connection, and the last answer could be lost. */
 void caller_session::shut_down_sending()
--- a/source/gateway/caller_session.h
+++ b/source/gateway/caller_session.h
@@ -2,6 +2,7 @@
 
 #include "gateway/caller_exchange.h"
 #include "gateway/connection_lifetime.h"
+#include "gateway/pass_on_order.h"
 #include "net/lasting_task.h"
 #include "net/metrics.h"
 #include "steering/traffic_policy.h"
@@ -62,6 +63,8 @@
     [[nodiscard]] bool is_next_to_answer(const caller_exchange& exchange) const;
     net::asio::awaitable<bool> write(std::string_view head, std::string_view body);
     void complete_exchange(const caller_exchange& exchange, bool keep_alive);
+    /** Has each unanswered request check again whether it may be passed on or answered. */
+    void notify_exchanges();
 
     net::asio::awaitable<std::shared_ptr<caller_exchange>> read_request();
     net::asio::awaitable<void> wait_for_pipeline_slot();
@@ -74,6 +77,7 @@
     std::shared_ptr<session_context> context_;
     std::unique_ptr<stream> stream_;
     connection_lifetime lifetime_;
+    pass_on_order order_;
     std::deque<std::shared_ptr<caller_exchange>> exchanges_; ///< not yet answered, oldest first
     std::optional<net::asio::steady_timer> slot_signal_;     ///< cancelled when another request may be read
     read_phase phase_ = read_phase::idle;
--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t stream_buffer_bytes = 16384;
 /** Limit of an answer that states no length. A faulty server can send one without end. */
 constexpr std::size_t max_undeclared_answer_bytes = 64U << 20U;
+/** Limits of answers that are held back until they are whole: of one, and of all of an instance together. */
+constexpr std::size_t max_held_bytes = 1U << 20U;
+constexpr std::size_t max_held_bytes_of_instance = 16U << 20U;
 /** After the request's time limit, an answer that is being delivered ends when its server sends nothing for
    this time. */
 constexpr core::milliseconds max_late_silence{2000};
@@ -42,11 +45,13 @@
       upstream_(context_.executor, context_.connections, context_.dialect, request_id_)
 {
     ++context_.in_progress;
+    upstream_.buffer_more_if([this](std::size_t bytes) { return hold_answer(bytes); });
 }
 
 forwarded_request::~forwarded_request()
 {
     --context_.in_progress;
+    context_.held_answer_bytes -= held_bytes_;
     if (accepted_relayed_)
         --context_.relayed_in_progress;
 }
@@ -90,7 +95,7 @@
         co_await exchange_->answer(head, {});
         co_return;
     }
-    if (exchange_->detect_disconnect()) {
+    if (!co_await exchange_->wait_to_pass_on() || exchange_->detect_disconnect()) {
         context_.metrics.add(net::counter::callers_lost);
         log_result("caller_left", 0, "the caller had closed its connection before the request was read", {});
         co_return;
@@ -101,6 +106,7 @@
     }
     auto step = context_.steerer.begin(extract_request_facts(), plan_);
     if (sends_request(step)) {
+        exchange_->pass_on(plan_.matched->large_answers);
         arm_timer();
         exchange_->on_caller_disconnected([weak = weak_from_this()] {
             if (const auto request = weak.lock())
@@ -225,6 +231,16 @@
     co_return failure;
 }
 
+bool forwarded_request::hold_answer(std::size_t bytes)
+{
+    if (bytes >= max_held_bytes || !exchange_->others_passed_on_behind())
+        return false;
+    context_.held_answer_bytes += bytes;
+    context_.held_answer_bytes -= held_bytes_;
+    held_bytes_ = bytes;
+    return context_.held_answer_bytes < max_held_bytes_of_instance;
+}
+
 attempt_outcome forwarded_request::outcome_without_answer() const
 {
     return upstream_.timed_out() ? attempt_outcome::timed_out : attempt_outcome::connection_lost;
--- a/source/gateway/forwarded_request.h
+++ b/source/gateway/forwarded_request.h
@@ -22,6 +22,7 @@
     const graceful_shutdown& shutdown;
     std::size_t in_progress = 0;         ///< requests that are being forwarded now
     std::size_t relayed_in_progress = 0; ///< those among them that other instances relayed and that may run
+    std::size_t held_answer_bytes = 0;   ///< buffered of answers that are held until they are whole
 };
 
 /** Forwards one request of a caller to a backend server and the server's answer to the caller.
@@ -56,6 +57,9 @@
     net::asio::awaitable<steering::connect_failure> open_connection(steering::backend_server& server);
     net::asio::awaitable<steering::attempt_outcome> send_and_receive(const steering::backend_server& server);
     [[nodiscard]] steering::attempt_outcome outcome_without_answer() const;
+    /** @returns whether an answer is held back until it is whole, so that it can't break off in front of
+       answers to other requests. @param bytes of it that are buffered. */
+    [[nodiscard]] bool hold_answer(std::size_t bytes);
 
     /** @param server that sent the answer, null when another instance passed it on. */
     net::asio::awaitable<void> deliver(steering::backend_server* server);
@@ -72,6 +76,7 @@
     steering::request_plan plan_;
     net::asio::steady_timer timer_;
     upstream_exchange upstream_;
+    std::size_t held_bytes_ = 0; ///< of this answer, counted in the context
     bool accepted_relayed_ = false;
     bool delivering_ = false; ///< the time limit no longer applies
 };
--- a/source/gateway/upstream_exchange.cpp
+++ b/source/gateway/upstream_exchange.cpp
@@ -117,7 +117,10 @@
 asio::awaitable<bool> upstream_exchange::buffer_body()
 {
     std::array<char, 4096> buffer{};
-    while (!connection_->complete() && buffered_body_.size() < max_buffered_bytes) {
+    const auto wants_more = [this](std::size_t bytes) {
+        return bytes < max_buffered_bytes || (buffers_more_ && buffers_more_(bytes));
+    };
+    while (!connection_->complete() && wants_more(buffered_body_.size())) {
         const auto read = co_await connection_->read_some(buffer);
         if (read.error)
             co_return false;
--- a/source/gateway/upstream_exchange.h
+++ b/source/gateway/upstream_exchange.h
@@ -34,6 +34,9 @@
     /** Reads the head of the answer to this request and skips answers to earlier ones.
         @returns false when the connection failed or too many answers were skipped. */
     net::asio::awaitable<bool> read_head();
+    /** Sets a function that is called when much of a body is buffered, with its bytes so far. It returns
+       whether more is buffered. */
+    void buffer_more_if(std::function<bool(std::size_t)> decide) { buffers_more_ = std::move(decide); }
     /** Reads the beginning of the body. If the answer breaks off within it, the caller has received nothing
         yet. @returns false when the connection failed. */
     net::asio::awaitable<bool> buffer_body();
@@ -78,6 +81,7 @@
     std::string request_id_;
     std::uint64_t request_id_hash_;
     std::unique_ptr<net::client_connection> connection_;
+    std::function<bool(std::size_t)> buffers_more_;
     std::string buffered_body_;
     bool buffered_whole_ = false;
     bool timed_out_ = false;
--- a/source/steering/traffic_policy.h
+++ b/source/steering/traffic_policy.h
@@ -19,6 +19,7 @@
     std::string host;                     ///< lower case, without a port
     std::string prefix;                   ///< begins and ends with a slash
     bool idempotent = false;              ///< whether a request may run more than once
+    bool large_answers = false;           ///< answers are so large that they are delivered while they arrive
     unsigned urgency = 0;                 ///< 0 is the most urgent
     core::milliseconds timeout{0};        ///< from the arrival of a request to its final answer
     core::milliseconds target_latency{0}; ///< a later answer is worth less to the caller
--- a/tests/gateway/forwarding_fixture.cpp
+++ b/tests/gateway/forwarding_fixture.cpp
@@ -40,7 +40,10 @@
     route.shares = {{core::service_id{"orders"}, 1}};
     steering::traffic_policy policy;
     policy.version = 1;
-    policy.routes = {route};
+    policy.routes = {route, route};
+    policy.routes.back().name = "files";
+    policy.routes.back().prefix = "/files/";
+    policy.routes.back().large_answers = true;
     policy.limits.header_bytes = 1024;
     policy.limits.body_bytes = 4096;
     return policy;
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -70,6 +70,8 @@
     REQUIRE_FALSE(policy.routes[1].idempotent);
     REQUIRE(policy.routes[1].max_attempts == 1);
     REQUIRE(policy.routes[2].idempotent);
+    REQUIRE(policy.routes[2].large_answers);
+    REQUIRE_FALSE(policy.routes[0].large_answers);
     REQUIRE_FALSE(policy.routes[3].idempotent);
     REQUIRE(policy.services.at(core::service_id{"s1"}).cold_time == core::milliseconds(3000));
     REQUIRE(policy.limits.idle_timeout == core::milliseconds(15000));
