--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -1,9 +1,13 @@
 #include "platform/platform.h"
 #include "store_fake.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 #include <future>
+#include <set>
 #include <thread>
 
 using namespace knapweed;
@@ -115,3 +119,34 @@
     boost::asio::post(instance.executor(), [&instance] { instance.leave(); });
     thread.join();
 }
+
+// Guards against a list that is asked for with a key that ends the request line or names another parameter.
+TEST_CASE("keys of any printable bytes are listed over many pages")
+{
+    constexpr int rows = 1200;
+    constexpr char first_printable = ' ';
+    constexpr char last_printable = '~';
+    test::store_fake store;
+    for (int i = 0; i < rows; ++i) {
+        const auto odd = static_cast<char>(first_printable + i % (last_printable - first_printable + 1));
+        store.put("servers", "i-" + std::to_string(i) + odd + "41" + odd + "from=", "{}");
+    }
+    net::asio::io_context io;
+    core::boot_clock time;
+    gateway::gateway_metrics metrics;
+    net::http_client http(io.get_executor(), core::milliseconds(1000), metrics, time,
+                          core::milliseconds(1000));
+    store_client client(http, store.address(), metrics);
+    std::set<std::string> keys;
+    boost::asio::co_spawn(
+        io,
+        [&]() -> net::asio::awaitable<void> {
+            const auto listed = co_await client.list("servers", core::milliseconds(5000));
+            CHECK(listed.status == read_status::ok);
+            for (const auto& row : listed.rows)
+                keys.insert(row.key);
+        },
+        boost::asio::detached);
+    io.run();
+    CHECK(keys.size() == rows);
+}
--- a/tests/platform/soak/store_stand_in.cpp
+++ b/tests/platform/soak/store_stand_in.cpp
@@ -1,6 +1,7 @@
 #include "store_stand_in.h"
 
 #include "platform/base64.h"
+#include "query_parameter.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -22,20 +23,6 @@
 constexpr std::size_t bytes_per_part = 8192;
 constexpr std::size_t rows_per_page = 6; ///< small, so that lists take several calls
 
-/** @returns the value of a parameter of a target's query, empty when absent. */
-std::string parameter(const std::string& target, const std::string& name)
-{
-    auto begin = target.find('?');
-    while (begin != std::string::npos) {
-        const auto end = target.find('&', begin + 1);
-        const auto pair = target.substr(begin + 1, end == std::string::npos ? end : end - begin - 1);
-        if (pair.starts_with(name + "="))
-            return pair.substr(name.size() + 1);
-        begin = end;
-    }
-    return {};
-}
-
 std::uint64_t number(const std::string& text)
 {
     return text.empty() ? 0 : std::stoull(text);
@@ -145,7 +132,8 @@
         response.set("Store-Era", std::to_string(era_));
         response.body() = result->body.dump();
         response.prepare_payload();
-        answered_bytes_[parameter(std::string(call.target()), "tableName")] += response.body().size();
+        answered_bytes_[test::query_parameter(std::string(call.target()), "tableName")] +=
+            response.body().size();
         std::ostringstream text;
         text << response;
         if (!co_await write_answer(socket, text.str()))
@@ -209,11 +197,13 @@
         apply(json::parse(call.body()));
     }
     else if (target.starts_with("/rows-feed")) {
-        result = co_await follow(parameter(target, "tableName"), number(parameter(target, "after")),
-                                 core::milliseconds(number(parameter(target, "waitMs"))));
+        result = co_await follow(test::query_parameter(target, "tableName"),
+                                 number(test::query_parameter(target, "after")),
+                                 core::milliseconds(number(test::query_parameter(target, "waitMs"))));
     }
     else {
-        auto rows = rows_after(parameter(target, "tableName"), 0, parameter(target, "from"), false);
+        auto rows = rows_after(test::query_parameter(target, "tableName"), 0,
+                               test::query_parameter(target, "from"), false);
         result.body["hasMore"] = rows.size() > rows_per_page;
         if (rows.size() > rows_per_page)
             rows.erase(rows.begin() + rows_per_page, rows.end());
--- a/tests/platform/store_fake.cpp
+++ b/tests/platform/store_fake.cpp
@@ -1,6 +1,7 @@
 #include "store_fake.h"
 
 #include "platform/base64.h"
+#include "query_parameter.h"
 
 #include <chrono>
 #include <nlohmann/json.hpp>
@@ -12,15 +13,6 @@
 
 constexpr std::size_t page_rows = 3; // small, so that a list takes several pages
 
-std::string parameter(const std::string& target, const std::string& name)
-{
-    const auto position = target.find(name + "=");
-    if (position == std::string::npos)
-        return "";
-    const auto begin = position + name.size() + 1;
-    return target.substr(begin, target.find_first_of("& ", begin) - begin);
-}
-
 } // namespace
 
 store_fake::store_fake() : server_([this](const std::string& request) { return answer(request); }) {}
@@ -113,8 +105,8 @@
 
 std::string store_fake::list(const std::string& target) const
 {
-    const auto name = parameter(target, "tableName");
-    const auto from = parameter(target, "from");
+    const auto name = query_parameter(target, "tableName");
+    const auto from = query_parameter(target, "from");
     std::string rows;
     std::size_t count = 0;
     bool more = false;
@@ -135,8 +127,8 @@
 
 std::string store_fake::feed(const std::string& target)
 {
-    const auto name = parameter(target, "tableName");
-    const auto after = std::stoull(parameter(target, "after"));
+    const auto name = query_parameter(target, "tableName");
+    const auto after = std::stoull(query_parameter(target, "after"));
     std::map<std::uint64_t, std::string> changes;
     for (const auto& [key, entry] : tables_[name]) {
         if (entry.version > after)
@@ -161,7 +153,10 @@
 
 scripted_reply store_fake::answer(const std::string& request)
 {
-    const auto target = request.substr(0, request.find("\r\n"));
+    const auto begin = request.find(' ') + 1;
+    const auto target = request.substr(begin, request.find(" HTTP/1.1\r\n") - begin);
+    if (target.find_first_of(" #") != std::string::npos)
+        return {make_answer("400 Bad Request", "")};
     const bool is_feed = target.find("/rows-feed") != std::string::npos;
     for (int rounds = 0;; ++rounds) {
         {
@@ -180,7 +175,7 @@
             }
             if (!is_feed)
                 return reply_with(list(target));
-            if (std::stoull(parameter(target, "after")) > version_)
+            if (std::stoull(query_parameter(target, "after")) > version_)
                 return {make_answer("410 Gone", "{}")};
             auto changes = feed(target);
             if (changes.find("\"rows\":[]") == std::string::npos || rounds == 20)
