Decode the values of rows with a strict, bounds-checked decoder

An entry of another writer in base64 without padding ended each instance that read it (up to two bytes written beyond the buffer), with the orders that it had passed on. The size of the buffer was computed by a rule for multiples of four characters, and the decoder was a part of Boost.Beast that isn't offered for use. With the old decoder the new tests in odd_entries_test.cpp fail, one with a segmentation fault.

--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -1,3 +1,4 @@
+#include "platform/base64.h"
 #include "platform/platform.h"
 #include "store_fake.h"
 
@@ -76,6 +77,47 @@
     REQUIRE(std::holds_alternative<decode_error>(decode_policy(nested(100000, '{', '}'))));
 }
 
+// Guards against a value of another writer that is decoded in part, or beyond the memory that was reserved
+// for it.
+TEST_CASE("a value that is not whole base64 is decoded to nothing")
+{
+    const auto sound = encode_base64(entry("127.0.0.1:9"));
+    for (std::size_t length = 1; length < sound.size(); ++length) {
+        if (length % 4 != 0)
+            CHECK_FALSE(decode_base64(std::string_view(sound).substr(0, length)));
+    }
+    for (const auto* text : {"YQ", "YQ=", "YQ==YQ==", "YR==", "Y===", "====", "YW=j", "YW Jj", "YWJj\n",
+                             " YWJj", "YW\r\n", "YW-j", "YW_j", "YWJ\xff", "YWI=YWI="})
+        CHECK_FALSE(decode_base64(text));
+    CHECK_FALSE(decode_base64(std::string("YWI\0", 4)));
+    CHECK(decode_base64("").value().empty());
+    std::string bytes;
+    for (int i = 0; i < 600; ++i) {
+        CHECK(decode_base64(encode_base64(bytes)) == bytes);
+        bytes += static_cast<char>(i * 7);
+    }
+}
+
+// Guards against a row of another writer that ends the instances that read it, or names a server.
+TEST_CASE("a row whose value is not base64 stands for nothing, and the other rows hold")
+{
+    const auto sound = encode_base64(entry("127.0.0.1:9"));
+    const auto row_with = [](const std::string& key, const std::string& value) {
+        return R"({"key":")" + key + R"(","ver":3,"value":")" + value + R"("})";
+    };
+    for (const auto length : {sound.size() - 1, sound.size() - 2, std::size_t{55}, std::size_t{1}}) {
+        read_result result;
+        REQUIRE(parse_rows(R"({"ver":9,"rows":[)" + row_with("a", sound) + "," +
+                               row_with("odd", sound.substr(0, length)) + "," + row_with("z", sound) + "]}",
+                           result));
+        REQUIRE(result.rows.size() == 3);
+        CHECK(result.rows.at(0).value == entry("127.0.0.1:9"));
+        CHECK(result.rows.at(1).value.empty());
+        CHECK(result.rows.at(2).value == entry("127.0.0.1:9"));
+        CHECK(std::holds_alternative<decode_error>(decode_server("odd", result.rows.at(1).value)));
+    }
+}
+
 // Guards against an instance that stops following the table, or ends, because of one odd entry.
 TEST_CASE("a gateway follows the other entries of a list and of changes among which some are odd")
 {
@@ -85,6 +127,8 @@
     const auto odd = odd_entries();
     for (std::size_t i = 0; i < odd.size(); i += 2)
         store.put("servers", "i-odd-" + std::to_string(i), odd.at(i));
+    store.put_undecoded("servers", "i-odd-unpadded",
+                        "eyJhZGRyZXNzIjoiMTI3LjAuMC4xOjkiLCJpbmZvIjp7InNlcnZpY2UiOi");
     store.put("servers", "i-z", entry("127.0.0.1:9"));
     gateway::gateway_settings settings;
     settings.instance = core::instance_id{"watcher"};
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -132,7 +132,7 @@
     REQUIRE(parse_load("3,1,8")->waiting == 1);
     for (const auto* text : {"", "3", "3,1", "3,1,8,9", "3,1,x", "-1,0,3"})
         REQUIRE_FALSE(parse_load(text));
-    REQUIRE(decode_base64(encode_base64(std::string("a\0b", 3))) == std::string("a\0b", 3));
+    REQUIRE(decode_base64(encode_base64(std::string("a\0b", 3))).value() == std::string("a\0b", 3));
     read_result rows;
     REQUIRE_FALSE(parse_rows("nonsense", rows));
     REQUIRE_FALSE(parse_rows(R"({"ver":1,"rows":[{"key":"k"}]})", rows));
--- a/tests/platform/soak/store_stand_in.cpp
+++ b/tests/platform/soak/store_stand_in.cpp
@@ -256,7 +256,7 @@
 void store_stand_in::apply(const json& transaction)
 {
     for (const auto& entry : transaction.at("writes")) {
-        const auto value = platform::decode_base64(entry.at("value").get<std::string>());
+        const auto value = platform::decode_base64(entry.at("value").get<std::string>()).value();
         write({entry.at("tableName"), entry.at("key")}, value, false);
         if (on_write_)
             on_write_(entry.at("tableName"), entry.at("key"), value);
--- a/tests/platform/store_fake.cpp
+++ b/tests/platform/store_fake.cpp
@@ -23,6 +23,12 @@
     tables_[name][key] = {value, ++version_, false};
 }
 
+void store_fake::put_undecoded(const std::string& name, const std::string& key, const std::string& text)
+{
+    const std::lock_guard lock(mutex_);
+    tables_[name][key] = {text, ++version_, false, true};
+}
+
 void store_fake::remove(const std::string& name, const std::string& key)
 {
     const std::lock_guard lock(mutex_);
@@ -99,7 +105,7 @@
     if (content.removed)
         described["removed"] = true;
     else
-        described["value"] = platform::encode_base64(content.value);
+        described["value"] = content.undecoded ? content.value : platform::encode_base64(content.value);
     return described.dump();
 }
 
@@ -145,7 +151,7 @@
     const auto body = nlohmann::json::parse(request.substr(request.find("\r\n\r\n") + 4));
     for (const auto& entry : body.at("writes")) {
         tables_[entry.at("tableName")][entry.at("key")] = {
-            platform::decode_base64(entry.at("value").get<std::string>()), ++version_, false};
+            platform::decode_base64(entry.at("value").get<std::string>()).value(), ++version_, false};
     }
     for (const auto& entry : body.at("remove"))
         tables_[entry.at("tableName")][entry.at("key")] = {"", ++version_, true};
--- a/tests/platform/store_fake.h
+++ b/tests/platform/store_fake.h
@@ -19,6 +19,7 @@
         std::string value;
         std::uint64_t version = 0;
         bool removed = false;
+        bool undecoded = false; ///< the value is sent as it is
     };
     using table = std::map<std::string, row>;
     struct table_copy {
@@ -30,6 +31,8 @@
 
     [[nodiscard]] std::string address() const { return server_.address(); }
     void put(const std::string& table, const std::string& key, const std::string& value);
+    /** Writes a row with @p text in place of the base64 of a value, as another writer may send it. */
+    void put_undecoded(const std::string& table, const std::string& key, const std::string& text);
     void remove(const std::string& table, const std::string& key);
     void set_fault(fault new_fault);
     /** Never answers again on the connections that are open now; new ones work. */
