Take the grace period in seconds, which may be a fraction

The template appended "000" to the platform's seconds: 6.5 became 6.5000 ms, and the process did not start. Other bounds in the template are numbers already. Change: timing.grace_s, in seconds; timing.grace_ms is read if it is absent.

--- a/source/gateway/gateway_settings.cpp
+++ b/source/gateway/gateway_settings.cpp
@@ -55,6 +55,15 @@
         return core::milliseconds(static_cast<core::milliseconds::rep>(value));
     }
 
+    /** Reads a time in seconds, which may have a fraction. */
+    core::milliseconds seconds(const std::string& key, core::milliseconds default_value, double min_s,
+                               double max_s)
+    {
+        const std::chrono::duration<double> value(
+            number(key, std::chrono::duration<double>(default_value).count(), min_s, max_s));
+        return std::chrono::round<core::milliseconds>(value);
+    }
+
     /** Reads fingerprints of 16 hexadecimal digits each, separated by commas. */
     std::vector<core::fingerprint> fingerprints(const std::string& key)
     {
@@ -115,6 +124,7 @@
     settings.metrics_address = reader.address("listen.metrics");
     settings.store_address = reader.address("platform.store");
     settings.grace_period = reader.time("timing.grace_ms", settings.grace_period, 1000, 600000);
+    settings.grace_period = reader.seconds("timing.grace_s", settings.grace_period, 1, 600);
     settings.lookup_ttl = reader.time("timing.lookup_ttl_ms", settings.lookup_ttl, 100, 600000);
     settings.capacity = reader.number("instance.cpu_share", 1, 0.001, 1000) *
                         reader.number("instance.core_speed", 1, 0.001, 1000);
