Take no request from a connection that was closed after it was read

Cause: the last read of a request completes through the queue of the event loop even if all its bytes were there. If the connection is closed meanwhile, because the answer before breaks off, the request was started on the closed connection, where nothing disconnects it. Before it was passed on for nobody; since then it waits for ever behind the answer that broke off: its session stays among the open ones and it counts as in progress, which keeps a planned stop from ending before the grace period. Change: a closed connection takes no more requests. Measured: closed_session_test.cpp closes a connection with four requests after each of the first 40 steps of the event loop: with the old code a request waits for ever and its session stays in 7 of them, now in none.

--- a/source/gateway/caller_session.cpp
+++ b/source/gateway/caller_session.cpp
@@ -366,6 +366,7 @@
 {
     if (std::exchange(closed_, true))
         return;
+    lifetime_.end(); // a request that has been read may not have been started yet
     net::error_code ignored;
     stream_->socket.close(ignored);
     const auto unanswered = std::move(exchanges_);
