Notice that a caller has left while requests of it are unread

Cause: the end of a connection was seen only by the next read, or by a look at it while nothing was unread. A session with 32 unanswered requests doesn't read. Requests that wait behind a download were then passed on when it ended, long after their caller had left (GONE); while they waited, nothing noticed it either. Change: detect_disconnect asks for the end of the connection whatever is unread before it; check_timeouts calls it while nothing is read. Whoever closes only the sending side counts as gone, as before.

--- a/source/gateway/caller_session.cpp
+++ b/source/gateway/caller_session.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace knapweed::gateway {
@@ -308,6 +309,8 @@
         close(); // the caller doesn't read its answer
         return;
     }
+    if (exchanges_.size() >= max_pipelined_requests)
+        detect_disconnect(); // nothing is being read that would report it
     if (sending_shut_down_) {
         if (elapsed >= linger_time)
             close();
@@ -344,7 +347,11 @@
 
 void caller_session::detect_disconnect()
 {
-    if (!closed_ && peek() == 0)
+    if (closed_)
+        return;
+    // The end of the connection is reported although unread requests may be before it.
+    pollfd polled{stream_->socket.native_handle(), POLLRDHUP, 0};
+    if (::poll(&polled, 1, 0) > 0)
         close();
 }
 
--- a/tests/gateway/pipelined_request_test.cpp
+++ b/tests/gateway/pipelined_request_test.cpp
@@ -93,6 +93,27 @@
     CHECK(text.ends_with("short 3"));
 }
 
+// Guards against requests that are passed on when the download before them ends, long after their caller has
+// left, because the session has stopped reading.
+TEST_CASE("requests of a caller that has left reach no server although more bytes of it are unread")
+{
+    constexpr int requests = 2000; // more than the session reads while so many are unanswered
+    forwarding_fixture fixture({[](const std::string& request) {
+        if (is_download(request))
+            std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        return scripted_reply{make_signed_reply(id_of(request), "short")};
+    }});
+    test_client client(fixture.port());
+    auto text = make_download("1");
+    for (int i = 2; i <= requests; ++i)
+        text += make_request(std::to_string(i));
+    client.send(text);
+    REQUIRE(fixture.server(0).wait_for_requests(1));
+    client.close();
+    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    CHECK(fixture.requests_at_servers() == 1);
+}
+
 // Guards against requests that wait for each other although none of them can take another along.
 TEST_CASE("requests whose answers are written as a whole run beside each other")
 {
