--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -25,6 +25,9 @@
    this time. */
 constexpr core::milliseconds max_late_silence{2000};
 constexpr unsigned bad_request = 400;
+/** A caller's time limit above this one counts as this one: larger ones would overflow what is computed with
+   them. */
+constexpr core::milliseconds max_time_limit = std::chrono::hours(24);
 /** Stated when more requests are relayed to this instance than it accepts. */
 constexpr core::milliseconds relayed_retry_after{100};
 /** Length to which a caller's host and path are truncated in the log. */
@@ -79,7 +82,7 @@
     if (const auto object = request.cookie(context_.dialect.object_cookie); !object.empty())
         facts.object_hash = core::hash_text(object, core::hash_text(facts.host));
     if (const auto limit = net::parse_number(request.field(context_.dialect.time_limit_field)))
-        facts.time_limit = core::milliseconds(*limit);
+        facts.time_limit = core::milliseconds(std::min<std::uint64_t>(*limit, max_time_limit.count()));
     if (origin_)
         facts.relayed_sends = origin_->max_sends;
     facts.answers_due = context_.shutdown.answers_due();
