--- a/source/gateway/upstream_exchange.cpp
+++ b/source/gateway/upstream_exchange.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t max_stale_answer_bytes = 1U << 20U;
 /** Interim answers (1xx) that may precede an answer. */
 constexpr int max_interim_answers = 4;
+/** A server isn't cold for longer; a larger time would overflow what is computed with it. */
+constexpr std::chrono::duration<std::uint64_t, std::milli> max_cold_time = std::chrono::hours(24);
 constexpr double bytes_per_kilobyte = 1024;
 
 } // namespace
@@ -162,7 +164,8 @@
         result.request_limit = dialect_.parse_request_limit(limit);
         result.malformed_limit = !result.request_limit;
     }
-    if (const auto remaining_ms = net::parse_number(connection_->field(dialect_.remaining_cold_time_field)))
+    const auto remaining_ms = net::parse_number(connection_->field(dialect_.remaining_cold_time_field));
+    if (remaining_ms && *remaining_ms <= max_cold_time.count())
         result.remaining_cold_time = core::milliseconds(*remaining_ms);
     result.answer_kilobytes =
         static_cast<double>(connection_->content_length().value_or(buffered_body_.size())) /
