Ask for the end of a connection only behind unread bytes

Cause: replaced the look at a connection by a poll, whose events a platform may not report as the look does. Change: the look comes first, as before; only where bytes are unread is the end behind them asked for.

--- a/source/gateway/caller_session.cpp
+++ b/source/gateway/caller_session.cpp
@@ -349,9 +349,8 @@
 {
     if (closed_)
         return;
-    // The end of the connection is reported although unread requests may be before it.
-    pollfd polled{stream_->socket.native_handle(), POLLRDHUP, 0};
-    if (::poll(&polled, 1, 0) > 0)
+    const auto received = peek();
+    if (received == 0 || (received > 0 && has_end_behind_unread()))
         close();
 }
 
@@ -363,6 +362,13 @@
     return static_cast<int>(::recv(stream_->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT));
 }
 
+/** @returns whether the caller has closed the connection behind bytes that are still unread. */
+bool caller_session::has_end_behind_unread()
+{
+    pollfd polled{stream_->socket.native_handle(), POLLRDHUP, 0};
+    return ::poll(&polled, 1, 0) > 0;
+}
+
 void caller_session::fail(const std::exception_ptr& error)
 {
     context_->on_error(net::describe(error));
