Read the final answer behind interim ones in calls and runs

Only the gateway's forwarding expects interim answers (1xx). For knapweedd, a 103 of a server was the whole answer: its caller got 103 and no body, and the run counted as answered. A call to the store or to another instance counted as failed. Change: client_connection reads up to the final head and allows for four interim ones, as forwarding does. The store and the platform's servers aren't known to send interim answers to knapweedd.

--- a/source/gateway/upstream_exchange.cpp
+++ b/source/gateway/upstream_exchange.cpp
@@ -20,8 +20,6 @@
    copies its refusals may have refused several requests before. */
 constexpr unsigned max_stale_answers = 16;
 constexpr std::size_t max_stale_answer_bytes = 1U << 20U;
-/** Interim answers (1xx) that may precede an answer. */
-constexpr int max_interim_answers = 4;
 /** A server isn't cold for longer; a larger time would overflow what is computed with it. */
 constexpr std::chrono::duration<std::uint64_t, std::milli> max_cold_time = std::chrono::hours(24);
 constexpr double bytes_per_kilobyte = 1024;
@@ -69,7 +67,7 @@
 {
     constexpr unsigned first_final_status = 200;
     int interim_answers = 0;
-    while (interim_answers <= max_interim_answers && place_.skipped_answers <= max_stale_answers) {
+    while (interim_answers <= net::max_interim_answers && place_.skipped_answers <= max_stale_answers) {
         if (co_await connection_->read_head(make_bodiless_rule()))
             co_return false;
         if (connection_->status() < first_final_status) {
--- a/source/net/client_connection.cpp
+++ b/source/net/client_connection.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::uint32_t answer_header_limit_bytes = 64 * 1024;
 constexpr std::size_t read_bytes = 2048;
+constexpr unsigned first_final_status = 200;
 
 std::string_view view(beast::string_view text)
 {
@@ -144,6 +145,17 @@
     co_return error;
 }
 
+asio::awaitable<error_code> client_connection::read_final_head()
+{
+    for (int interim_answers = 0; interim_answers <= max_interim_answers; ++interim_answers) {
+        const auto head_error = co_await read_head();
+        if (head_error || status() >= first_final_status)
+            co_return head_error;
+        expect_next_answer();
+    }
+    co_return http::error::bad_status;
+}
+
 unsigned client_connection::status() const
 {
     return state_->parser->get().result_int();
--- a/source/net/client_connection.h
+++ b/source/net/client_connection.h
@@ -37,6 +37,9 @@
     std::size_t bytes = 0;
 };
 
+/** Interim answers (1xx) that may precede an answer. */
+constexpr int max_interim_answers = 4;
+
 /** Decides from the head of an answer whether the answer has no body although it may state a length, such as
    one to a HEAD request. The function that it receives returns the value of a field, empty when absent. */
 using bodiless_rule = std::function<bool(const std::function<std::string_view(std::string_view)>&)>;
@@ -81,6 +84,10 @@
         @param is_bodiless if set, decides whether the answer has no body. */
     asio::awaitable<error_code> read_head(bodiless_rule is_bodiless = {});
 
+    /** Reads heads up to that of the final answer. More than `max_interim_answers` interim ones (1xx) before
+        it give an error. */
+    asio::awaitable<error_code> read_final_head();
+
     [[nodiscard]] unsigned status() const;
     [[nodiscard]] std::string_view reason() const;
     /** Calls @p visit with the name and value of each field of the answer's head, in order. */
--- a/source/net/dispatch_runner.cpp
+++ b/source/net/dispatch_runner.cpp
@@ -298,7 +298,7 @@
 {
     auto& connection = *running.connection;
     for (unsigned skipped = 0; skipped <= max_stale_answers; ++skipped) {
-        const auto head_error = co_await connection.read_head();
+        const auto head_error = co_await connection.read_final_head();
         if (head_error)
             co_return false;
         const auto run_id = connection.field(run_id_field);
--- a/source/net/http_client.cpp
+++ b/source/net/http_client.cpp
@@ -98,7 +98,7 @@
     result.status = fetch_status::lost;
     if (written.error)
         co_return result;
-    const auto head_error = co_await connection.read_head();
+    const auto head_error = co_await connection.read_final_head();
     if (head_error)
         co_return result;
     result.http_status = connection.status();
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -62,3 +62,32 @@
     CHECK(results.back().status == net::fetch_status::answered);
     CHECK_FALSE(results.back().reused_connection);
 }
+
+// Guards against an interim answer that counts as a failed call, and against interim answers without end.
+TEST_CASE("a call is answered by the final answer behind interim ones")
+{
+    constexpr core::milliseconds time_limit{20000};
+    constexpr std::size_t body_limit = 1000;
+    const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+    const bool endless = GENERATE(false, true);
+    upstream_fake server([&](const std::string&) {
+        scripted_reply reply{interim + make_reply("200 OK", "", "done")};
+        if (endless)
+            reply.endless = reply.bytes = interim;
+        return reply;
+    });
+    core::boot_clock time;
+    ignored_counters counters;
+    boost::asio::io_context io;
+    net::http_client client(io.get_executor(), std::chrono::seconds(10), counters, time);
+    net::outgoing_request request;
+    request.method = "GET";
+    request.target = "/";
+    net::fetch_result answer;
+    boost::asio::co_spawn(
+        io, client.fetch(server.address(), std::move(request), time_limit, body_limit),
+        [&answer](const std::exception_ptr&, net::fetch_result result) { answer = std::move(result); });
+    io.run();
+    CHECK(answer.status == (endless ? net::fetch_status::lost : net::fetch_status::answered));
+    CHECK(answer.body == (endless ? "" : "done"));
+}
--- a/tests/net/late_answer_test.cpp
+++ b/tests/net/late_answer_test.cpp
@@ -153,3 +153,20 @@
     CHECK(result.status == (within_limits ? dispatch_status::answered : dispatch_status::broken));
     CHECK(result.answer.body == (within_limits ? "own" : ""));
 }
+
+// Guards against an interim answer that is passed on as the answer, while the run's own answer remains on the
+// connection.
+TEST_CASE_METHOD(late_answer_fixture, "an interim answer is not the answer to a run")
+{
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: </style>\r\n\r\n";
+    upstream_fake server([&](const std::string& request) {
+        return scripted_reply{interim + interim + success(request, id_echo::own, "own")};
+    });
+    for (int runs = 0; runs < 2; ++runs) {
+        const auto result = run(server);
+        CHECK(result.status == dispatch_status::answered);
+        CHECK(result.answer.status == 200);
+        CHECK(result.answer.body == "own");
+    }
+    CHECK(opened() == 1);
+}
