Refuse a request whose time limit has passed while the paths are cut

Cause: since a request may be looked at first after its time limit. While the paths to the servers are cut it was relayed then, and its own timer ended the relay at once: 504 and an unknown outcome for a request that nobody had got, and a send for nothing. Other requests were refused already, since no server is fast enough. Change: the time limit is checked before a relay, as it is before a second one. Measured: the new test of request_relay_test.cpp failed before and passes; steering_tests passes (123 cases).

--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -93,6 +93,9 @@
     if (relay_.links().is_cut()) {
         if (plan.relayed_sends)
             return refuse_or_fail(plan, core::refusal_reason::no_backend_server, core::duration::zero());
+        // A request can wait behind others of its caller until its time limit has passed.
+        if (time_.now() >= plan.answer_by)
+            return refuse_or_fail(plan, core::refusal_reason::deadline_unmeetable, core::duration::zero());
         // The other instance counts the request among its own, and chooses its service.
         if (auto step = relay_.start(plan))
             return *step;
--- a/tests/steering/request_relay_test.cpp
+++ b/tests/steering/request_relay_test.cpp
@@ -93,6 +93,21 @@
     REQUIRE(std::get<refuse_step>(step).reason == core::refusal_reason::no_backend_server);
 }
 
+// Guards against an unknown outcome of a request that waited behind others of its caller beyond its time
+// limit.
+TEST_CASE("a request whose time limit has passed is refused and not relayed")
+{
+    cut_fixture fixture;
+    fixture.hear("i2");
+    fixture.cut();
+    const request_facts facts{"shop.example", "/orders/1", 0, fixture.time.now(), milliseconds(800)};
+    fixture.time.advance(milliseconds(800));
+    request_plan plan;
+    const auto step = fixture.steerer.begin(facts, plan);
+    REQUIRE(std::holds_alternative<refuse_step>(step));
+    CHECK(std::get<refuse_step>(step).reason == core::refusal_reason::deadline_unmeetable);
+}
+
 // Guards against a second run of a request that the first instance may have had run.
 TEST_CASE("only a relay that sent nothing is followed by another")
 {
