Limit the memory for the bodies of all requests of an instance

Cause: Bodies are read whole before they are forwarded, each up to the limit of the configuration (64 MB), and nothing limits their sum: a few callers with large bodies take an instance over the memory of its machine, which kills it. Change: body_budget divides half of the machine's memory (instance.memory_mb, 160 MB by default) among the bodies in progress, an eighth of it for bodies up to 64 KiB only. A stated length is claimed whole before the body is read, a body in chunks claims more as it grows. What doesn't fit is refused with 503, no_body_space, and a Retry-After unless it can never fit; the connection closes. Waiting was weighed: bodies in chunks that wait for each other never end, the time of the waiting caller passes, and another instance may have room at once. When a claim doesn't fit, bodies that can't arrive in their time limit at their mean rate lose their claim at the next tick, so a silent caller occupies memory for 0.5 s after its head and one tick. What was sent behind the refusal is discarded 16 KiB at a time instead of 1. Conclusion: the memory for bodies no longer depends on the callers.

--- a/source/core/reasons.h
+++ b/source/core/reasons.h
@@ -34,12 +34,13 @@
     cancelled_by_caller,
     no_configuration,
     no_free_slot,
-    configuration_outdated
+    configuration_outdated,
+    no_body_space
 };
 
 template <>
 struct names_of<refusal_reason> {
-    static constexpr std::array<std::string_view, 29> table{"malformed_request",
+    static constexpr std::array<std::string_view, 30> table{"malformed_request",
                                                             "unknown_service",
                                                             "unknown_path",
                                                             "body_too_large",
@@ -67,7 +68,8 @@
                                                             "cancelled_by_caller",
                                                             "no_configuration",
                                                             "no_free_slot",
-                                                            "configuration_outdated"};
+                                                            "configuration_outdated",
+                                                            "no_body_space"};
 };
 
 /** Why the outcome of a request is unknown: it may have been run, at most once. */
--- a/source/gateway/caller_exchange.h
+++ b/source/gateway/caller_exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/core.h"
+#include "gateway/body_claim.h"
 #include "gateway/pass_on_order.h"
 #include "net/asio_types.h"
 #include "net/client_connection.h"
@@ -15,13 +16,20 @@
 
 class caller_session;
 
-/** A request as it was read from a caller, with its whole body. */
+/** Why the body of a request was not read to its end. */
+struct body_refusal {
+    core::duration retry_after{0}; ///< zero when the body can never fit
+};
+
+/** A request as it was read from a caller, with its whole body unless that was refused. */
 struct caller_request {
     std::string method;
     std::string target; ///< path and query, as received
     std::vector<net::header_field> fields;
     std::string body;
-    std::string caller; ///< address of the caller, without its port
+    body_claim claim;                         ///< to the memory of the body
+    std::optional<body_refusal> body_refused; ///< the request is not to be run
+    std::string caller;                       ///< address of the caller, without its port
     bool keep_alive = true;
     core::time_point received; ///< when its first byte was read
 
--- a/source/gateway/caller_session.cpp
+++ b/source/gateway/caller_session.cpp
@@ -25,6 +25,8 @@
 /** Time that a caller has to read the last answer after this side has shut down sending. */
 constexpr core::milliseconds linger_time{1000};
 constexpr std::size_t initial_read_bytes = 2048;
+/** Stated when a body doesn't fit beside others. Those are read and forwarded within about this time. */
+constexpr core::milliseconds body_retry_after{500};
 
 constexpr unsigned bad_request = 400;
 constexpr unsigned request_timeout = 408;
@@ -66,6 +68,41 @@
            error != http::error::end_of_stream && error != http::error::partial_message;
 }
 
+/** The error of a body for which no memory is left. */
+boost::system::error_code no_body_space()
+{
+    return make_error_code(boost::system::errc::not_enough_memory);
+}
+
+std::optional<std::uint64_t> stated_length(const http::request_parser<http::string_body>& parser)
+{
+    const auto length = parser.content_length();
+    return length ? std::optional(*length) : std::nullopt;
+}
+
+/** Reads the body of a request. @param claim to its memory, which grows with a body of unknown length. */
+asio::awaitable<boost::system::error_code> read_body(net::tcp::socket& socket, beast::flat_buffer& buffer,
+                                                     http::request_parser<http::string_body>& parser,
+                                                     body_claim& claim, const core::clock& time)
+{
+    auto& body = parser.get().body();
+    std::uint64_t received_bytes = 0;
+    while (!parser.is_done()) {
+        if (!claim.grow(body.size(), buffer.capacity(), time.now()))
+            co_return no_body_space();
+        if (!parser.content_length())
+            body.reserve(claim.bytes());
+        auto [error, bytes] = co_await http::async_read_some(socket, buffer, parser, as_result);
+        if (error)
+            co_return claim.revoked() && error == asio::error::operation_aborted ? no_body_space() : error;
+        received_bytes += bytes;
+        if (net::has_excessive_framing(received_bytes, body.size()))
+            co_return http::error::buffer_overflow;
+    }
+    claim.body_is_whole();
+    co_return boost::system::error_code{};
+}
+
 /** Answers a rejected request. A lambda coroutine would not work: its captures could be destroyed before the
    coroutine ends. */
 asio::awaitable<void> answer_rejected(std::shared_ptr<caller_exchange> exchange, unsigned status,
@@ -160,19 +197,19 @@
     const auto& message = parser.get();
     if (!error && !is_well_framed(message))
         error = make_error_code(http::error::bad_field);
+    if (!error && !parser.is_done()) {
+        claim_ = context_->bodies.claim({stated_length(parser), limits.idle_timeout, context_->time.now()});
+        if (!claim_.holds())
+            error = no_body_space();
+    }
     if (!error && beast::iequals(message[http::field::expect], "100-continue") && exchanges_.empty()) {
         if (!co_await write("HTTP/1.1 100 Continue\r\n\r\n", {}))
             co_return nullptr;
     }
     phase_ = read_phase::reading_body;
-    std::uint64_t received_bytes = 0;
-    while (!error && !parser.is_done()) {
-        auto [body_error, bytes] = co_await http::async_read_some(socket, buffer, parser, as_result);
-        error = body_error;
-        received_bytes += bytes;
-        if (!error && net::has_excessive_framing(received_bytes, message.body().size()))
-            error = http::error::buffer_overflow;
-    }
+    if (!error && !parser.is_done())
+        error = co_await read_body(socket, buffer, parser, claim_, context_->time);
+    auto claim = std::move(claim_);
     phase_ = read_phase::idle;
     phase_began_ = context_->time.now();
     if (!lifetime_.takes_requests())
@@ -183,7 +220,8 @@
                timed_out_ ? "the request took too long to arrive" : error.message());
         co_return nullptr;
     }
-    if (error) {
+    const bool body_refused = error == no_body_space();
+    if (error && !body_refused) {
         close();
         co_return nullptr;
     }
@@ -199,7 +237,15 @@
     request.received = received;
     for (const auto& field : message)
         request.fields.push_back({std::string(view(field.name_string())), std::string(view(field.value()))});
-    request.body = std::move(parser.get().body());
+    if (body_refused) {
+        const bool can_fit = context_->bodies.can_fit(stated_length(parser).value_or(0));
+        request.body_refused = {can_fit ? body_retry_after : core::duration::zero()};
+        request.keep_alive = false; // the rest of the body is not read
+    }
+    else {
+        request.body = std::move(parser.get().body());
+        request.claim = std::move(claim);
+    }
     co_return std::make_shared<caller_exchange>(shared_from_this(), std::move(request));
 }
 
@@ -228,7 +274,7 @@
 
 asio::awaitable<void> caller_session::discard_until_closed()
 {
-    std::array<char, 1024> discarded{};
+    std::array<char, 16384> discarded{};
     phase_ = read_phase::discarding;
     phase_began_ = context_->time.now();
     while (!closed_) {
@@ -320,6 +366,10 @@
         break;
     case read_phase::reading_head:
     case read_phase::reading_body:
+        if (claim_.revoked()) {
+            net::error_code ignored;
+            stream_->socket.cancel(ignored);
+        }
         if (elapsed >= (phase_ == read_phase::reading_head ? limits.header_timeout : limits.idle_timeout)) {
             timed_out_ = true;
             net::error_code ignored;
--- a/source/gateway/caller_session.h
+++ b/source/gateway/caller_session.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/body_budget.h"
 #include "gateway/caller_exchange.h"
 #include "gateway/connection_lifetime.h"
 #include "gateway/pass_on_order.h"
@@ -18,6 +19,7 @@
     const core::clock& time;
     net::counter_sink& counters;
     const graceful_shutdown& shutdown;               ///< of the process
+    body_budget& bodies;                             ///< of the instance
     std::function<steering::caller_limits()> limits; ///< returns the limits currently in force
     handler handle;                                  ///< answers each request
     net::error_hook on_error; ///< called with each unexpected error, which ends only its connection
@@ -78,6 +80,7 @@
     std::unique_ptr<stream> stream_;
     connection_lifetime lifetime_;
     pass_on_order order_;
+    body_claim claim_;                                       ///< of the request that is being read
     std::deque<std::shared_ptr<caller_exchange>> exchanges_; ///< not yet answered, oldest first
     std::optional<net::asio::steady_timer> slot_signal_;     ///< cancelled when another request may be read
     read_phase phase_ = read_phase::idle;
--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -95,6 +95,10 @@
         co_await exchange_->answer(head, {});
         co_return;
     }
+    if (const auto& refused = exchange_->request().body_refused) {
+        co_await refuse({core::refusal_reason::no_body_space, refused->retry_after});
+        co_return;
+    }
     if (!co_await exchange_->wait_to_pass_on() || exchange_->detect_disconnect()) {
         context_.metrics.add(net::counter::callers_lost);
         log_result("caller_left", 0, "the caller had closed its connection before the request was read", {});
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -59,7 +59,7 @@
 
 gateway::gateway(gateway_settings settings, std::string settings_file, http_dialect dialect)
     : settings_(std::move(settings)), settings_file_(std::move(settings_file)), dialect_(std::move(dialect)),
-      signals_(io_, SIGTERM, SIGINT, SIGHUP),
+      bodies_(make_body_limits(settings_.memory_bytes)), signals_(io_, SIGTERM, SIGINT, SIGHUP),
       log_({settings_.instance.str(), settings_.log_lines_per_second, 65536}, time_),
       steerer_(make_steerer_options(settings_, random_seed()), time_),
       connections_(io_.get_executor(), max_idle_time, metrics_, time_),
@@ -110,7 +110,7 @@
         return result;
     };
     return std::make_shared<session_context>(
-        session_context{time_, metrics_, shutdown_, std::move(limits), std::move(handle),
+        session_context{time_, metrics_, shutdown_, bodies_, std::move(limits), std::move(handle),
                         [this](std::string_view error) { report_error(error); }});
 }
 
--- a/source/gateway/gateway.h
+++ b/source/gateway/gateway.h
@@ -100,6 +100,7 @@
     std::string settings_file_;
     http_dialect dialect_;
     core::boot_clock time_;
+    body_budget bodies_; ///< outlives the tasks of `io_`, which hold claims
     net::asio::io_context io_{1};
     net::asio::signal_set signals_;
     event_log log_;
--- a/source/gateway/gateway_settings.cpp
+++ b/source/gateway/gateway_settings.cpp
@@ -64,6 +64,14 @@
         return std::chrono::round<core::milliseconds>(value);
     }
 
+    /** Reads a size in megabytes. @returns bytes. */
+    std::uint64_t megabytes(const std::string& key, std::uint64_t default_bytes, double min_mb, double max_mb)
+    {
+        constexpr double megabyte = 1e6;
+        return static_cast<std::uint64_t>(
+            number(key, static_cast<double>(default_bytes) / megabyte, min_mb, max_mb) * megabyte);
+    }
+
     /** Reads fingerprints of 16 hexadecimal digits each, separated by commas. */
     std::vector<core::fingerprint> fingerprints(const std::string& key)
     {
@@ -128,6 +136,7 @@
     settings.lookup_ttl = reader.time("timing.lookup_ttl_ms", settings.lookup_ttl, 100, 600000);
     settings.capacity = reader.number("instance.cpu_share", 1, 0.001, 1000) *
                         reader.number("instance.core_speed", 1, 0.001, 1000);
+    settings.memory_bytes = reader.megabytes("instance.memory_mb", settings.memory_bytes, 16, 1000000);
     settings.largest_shift = reader.number("steering.largest_shift", settings.largest_shift, 0.001, 1);
     settings.cold_multiplier = reader.number("steering.cold_multiplier", settings.cold_multiplier, 0.1, 1000);
     settings.cold_slack = reader.number("steering.cold_slack", settings.cold_slack, 0, 100000);
--- a/source/gateway/gateway_settings.h
+++ b/source/gateway/gateway_settings.h
@@ -14,16 +14,17 @@
     core::instance_id instance;
     core::data_centre_id data_centre;
     core::region_id region;
-    std::string caller_address;            ///< ip:port for callers' requests
-    std::string readiness_address;         ///< ip:port for readiness checks
-    std::string lookup_address;            ///< ip:port for look-ups of callers
-    std::string peer_address;              ///< ip:port for datagrams and relayed requests between instances
-    std::string metrics_address;           ///< ip:port for metrics
-    std::string store_address;             ///< ip:port of the platform's store
-    core::milliseconds grace_period{6000}; ///< from the stop signal to the end of the process
-    core::milliseconds lookup_ttl{4000};   ///< time for which callers may cache an answer to a look-up
-    double capacity = 1;                   ///< cores that the process may use, in cores of normal speed
-    double largest_shift = 0.15;           ///< share of a region's requests that may change region in 2 s
+    std::string caller_address;             ///< ip:port for callers' requests
+    std::string readiness_address;          ///< ip:port for readiness checks
+    std::string lookup_address;             ///< ip:port for look-ups of callers
+    std::string peer_address;               ///< ip:port for datagrams and relayed requests between instances
+    std::string metrics_address;            ///< ip:port for metrics
+    std::string store_address;              ///< ip:port of the platform's store
+    core::milliseconds grace_period{6000};  ///< from the stop signal to the end of the process
+    core::milliseconds lookup_ttl{4000};    ///< time for which callers may cache an answer to a look-up
+    double capacity = 1;                    ///< cores that the process may use, in cores of normal speed
+    std::uint64_t memory_bytes = 160000000; ///< of the machine; half of it is for bodies of requests
+    double largest_shift = 0.15;            ///< share of a region's requests that may change region in 2 s
     /** In any second, all instances together may send a cold (recently started) server at most its service's
         cold rate (requests per second) times `cold_multiplier`, plus `cold_slack` requests. */
     double cold_multiplier = 1.5;
--- a/tests/gateway/forwarding_fixture.cpp
+++ b/tests/gateway/forwarding_fixture.cpp
@@ -27,7 +27,8 @@
     return "test" + std::to_string(fixtures++);
 }
 
-steering::traffic_policy make_policy(bool idempotent, core::milliseconds timeout, unsigned max_attempts)
+steering::traffic_policy make_policy(bool idempotent, core::milliseconds timeout, unsigned max_attempts,
+                                     std::uint64_t longest_body)
 {
     steering::route route;
     route.name = "r";
@@ -45,15 +46,16 @@
     policy.routes.back().prefix = "/files/";
     policy.routes.back().large_answers = true;
     policy.limits.header_bytes = 1024;
-    policy.limits.body_bytes = 4096;
+    policy.limits.body_bytes = longest_body;
     return policy;
 }
 
 } // namespace
 
 forwarding_fixture::forwarding_fixture(std::vector<std::function<scripted_reply(const std::string&)>> scripts,
-                                       bool idempotent, core::milliseconds timeout, unsigned max_attempts)
-    : log_({make_log_name()}, time_, discarded_output()),
+                                       bool idempotent, core::milliseconds timeout, unsigned max_attempts,
+                                       body_sizes sizes)
+    : bodies_(gateway::make_body_limits(sizes.memory)), log_({make_log_name()}, time_, discarded_output()),
       steerer_({core::instance_id{"i"}, {core::data_centre_id{"a"}, core::region_id{"r"}}, small_capacity},
                time_),
       connections_(io_.get_executor(), std::chrono::seconds(4), metrics_, time_),
@@ -66,7 +68,7 @@
                make_context([this](auto exchange) { return forward_relayed(std::move(exchange)); }), 64)
 {
     steerer_.servers().set_regions({{core::data_centre_id{"a"}, core::region_id{"r"}}});
-    (void)steerer_.apply(make_policy(idempotent, timeout, max_attempts));
+    (void)steerer_.apply(make_policy(idempotent, timeout, max_attempts, sizes.longest));
     for (std::size_t i = 0; i < scripts.size(); ++i) {
         servers_.push_back(std::make_unique<upstream_fake>(scripts[i]));
         steerer_.servers().put(make_record(i));
@@ -120,9 +122,9 @@
 std::shared_ptr<gateway::session_context>
 forwarding_fixture::make_context(gateway::session_context::handler handle)
 {
-    return std::make_shared<gateway::session_context>(
-        gateway::session_context{time_, metrics_, shutdown_, [this] { return steerer_.policy()->limits; },
-                                 std::move(handle), [](std::string_view) {}});
+    return std::make_shared<gateway::session_context>(gateway::session_context{
+        time_, metrics_, shutdown_, bodies_, [this] { return steerer_.policy()->limits; }, std::move(handle),
+        [](std::string_view) {}});
 }
 
 void forwarding_fixture::begin_shutdown(core::milliseconds grace_period)
@@ -136,6 +138,11 @@
     run_on_gateway_thread([this] { relayed_.stop_accepting(); });
 }
 
+void forwarding_fixture::tick()
+{
+    run_on_gateway_thread([this] { listener_.tick(); });
+}
+
 void forwarding_fixture::run_on_gateway_thread(const std::function<void()>& action)
 {
     std::promise<void> done;
--- a/tests/gateway/forwarding_fixture.h
+++ b/tests/gateway/forwarding_fixture.h
@@ -31,6 +31,12 @@
     return dialect;
 }
 
+/** Limits of bodies, in bytes. */
+struct body_sizes {
+    std::uint64_t longest = 4096;     ///< by the configuration
+    std::uint64_t memory = 160000000; ///< of the machine
+};
+
 /** A listener that forwards requests to scripted servers and runs on its own thread. */
 class forwarding_fixture {
 public:
@@ -38,7 +44,7 @@
         more than once. @param max_attempts servers to which a request may be sent. */
     explicit forwarding_fixture(std::vector<std::function<scripted_reply(const std::string&)>> scripts,
                                 bool idempotent = true, core::milliseconds timeout = core::milliseconds(5000),
-                                unsigned max_attempts = 2);
+                                unsigned max_attempts = 2, body_sizes sizes = {});
     forwarding_fixture(const forwarding_fixture&) = delete;
     forwarding_fixture& operator=(const forwarding_fixture&) = delete;
     ~forwarding_fixture();
@@ -48,6 +54,10 @@
     [[nodiscard]] std::uint16_t relay_port() const { return relayed_.port(); }
     /** @returns the number of requests of other instances that are accepted at the same time. */
     [[nodiscard]] std::size_t max_relayed() const { return steerer_.max_relayed_requests(); }
+    /** @returns the memory for bodies; call its functions on the gateway's thread. */
+    [[nodiscard]] gateway::body_budget& bodies() noexcept { return bodies_; }
+    /** Enforces the time limits of the callers' connections. */
+    void tick();
     /** Begins a graceful shutdown. By default, the grace period is longer than the time limits of requests.
      */
     void begin_shutdown(core::milliseconds grace_period = core::milliseconds(60000));
@@ -74,6 +84,7 @@
 
     std::vector<std::unique_ptr<upstream_fake>> servers_;
     core::boot_clock time_;
+    gateway::body_budget bodies_;
     gateway::http_dialect dialect_ = test_dialect();
     boost::asio::io_context io_{1};
     gateway::gateway_metrics metrics_;
--- a/tests/gateway/planned_stop_test.cpp
+++ b/tests/gateway/planned_stop_test.cpp
@@ -22,7 +22,7 @@
 public:
     stopped_listener()
         : context(std::make_shared<session_context>(
-              session_context{time, metrics, shutdown, [] { return steering::caller_limits{}; },
+              session_context{time, metrics, shutdown, bodies, [] { return steering::caller_limits{}; },
                               [](auto exchange) { return answer(std::move(exchange)); },
                               [this](std::string_view error) { errors.emplace_back(error); }})),
           listener(io.get_executor(), context, 64)
@@ -52,6 +52,7 @@
         thread = std::thread([this] { io.run(); });
     }
 
+    body_budget bodies{make_body_limits(160000000)};
     boost::asio::io_context io{1};
     core::boot_clock time;
     graceful_shutdown shutdown{time};
--- a/tests/platform/soak/server_stand_in.cpp
+++ b/tests/platform/soak/server_stand_in.cpp
@@ -125,10 +125,12 @@
     boost::beast::flat_buffer buffer;
     std::set<std::string> carried; // ids of the requests on this connection
     for (;;) {
-        request call;
-        const auto [error, bytes] = co_await http::async_read(*socket, buffer, call, net::as_result);
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(boost::none);
+        const auto [error, bytes] = co_await http::async_read(*socket, buffer, parser, net::as_result);
         if (error || process != starts_)
             co_return;
+        const request call = parser.release();
         const std::string request_id(call["Request-Id"]);
         if (!carried.insert(request_id).second)
             ++records_[request_id].repeats_on_connection;
--- a/tests/platform/soak/store_fleet.cpp
+++ b/tests/platform/soak/store_fleet.cpp
@@ -78,7 +78,7 @@
                   {"once", make_route("/once/", "unsafe", "once")},
                   {"moved", make_route("/moved/", "safe", moved_to)}}},
                 {"services", json::object()},
-                {"limits", {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 1 << 20}}}};
+                {"limits", {{"maxHeaderBytes", 16384}, {"maxBodyBytes", options_.longest_body}}}};
     for (unsigned i = 0; i < more_routes; ++i) {
         auto route = make_route("/" + core::to_hex(core::hash_text(std::to_string(i))) + "/", "safe", "read");
         route["host"] = "shop" + std::to_string(i) + ".example";
--- a/tests/platform/soak/store_fleet.h
+++ b/tests/platform/soak/store_fleet.h
@@ -20,6 +20,7 @@
     std::string name; ///< of the run and its history
     std::uint64_t seed = 1;
     int gateways = 4;
+    std::uint64_t longest_body = 1U << 20U; ///< by the configuration, in bytes
 };
 
 /** Real gateways that share one store, each behind a link of its own, with backend servers behind proxies, in
