--- a/source/gateway/caller_session.cpp
+++ b/source/gateway/caller_session.cpp
@@ -1,5 +1,6 @@
 #include "gateway/caller_session.h"
 
+#include "gateway/body_reading.h"
 #include "net/message_limits.h"
 
 #include <algorithm>
@@ -26,6 +27,8 @@
 /** Time that a caller has to read the last answer after this side has shut down sending. */
 constexpr core::milliseconds linger_time{1000};
 constexpr std::size_t initial_read_bytes = 2048;
+/** Stated when a body doesn't fit beside others. Those are read and forwarded within about this time. */
+constexpr core::milliseconds body_retry_after{500};
 
 constexpr unsigned bad_request = 400;
 constexpr unsigned request_timeout = 408;
@@ -154,26 +157,26 @@
     phase_ = read_phase::reading_head;
     phase_began_ = received;
     buffer.max_size(std::max<std::size_t>(buffer.size(), limits.header_bytes + net::max_unparsed_bytes));
-    http::request_parser<http::string_body> parser;
+    request_parser parser;
     parser.header_limit(limits.header_bytes);
     parser.body_limit(limits.body_bytes);
     auto [error, head_bytes] = co_await http::async_read_header(socket, buffer, parser, as_result);
     const auto& message = parser.get();
     if (!error && !is_well_framed(message))
         error = make_error_code(http::error::bad_field);
+    if (!error && !parser.is_done()) {
+        claim_ = context_->bodies.claim({stated_length(parser), limits.idle_timeout, context_->time.now()});
+        if (!claim_.holds())
+            error = no_body_space();
+    }
     if (!error && beast::iequals(message[http::field::expect], "100-continue") && exchanges_.empty()) {
         if (!co_await write("HTTP/1.1 100 Continue\r\n\r\n", {}))
             co_return nullptr;
     }
     phase_ = read_phase::reading_body;
-    std::uint64_t received_bytes = 0;
-    while (!error && !parser.is_done()) {
-        auto [body_error, bytes] = co_await http::async_read_some(socket, buffer, parser, as_result);
-        error = body_error;
-        received_bytes += bytes;
-        if (!error && net::has_excessive_framing(received_bytes, message.body().size()))
-            error = http::error::buffer_overflow;
-    }
+    if (!error && !parser.is_done())
+        error = co_await read_body(socket, buffer, parser, claim_, context_->time);
+    auto claim = std::move(claim_);
     phase_ = read_phase::idle;
     phase_began_ = context_->time.now();
     if (!lifetime_.takes_requests())
@@ -184,7 +187,8 @@
                timed_out_ ? "the request took too long to arrive" : error.message());
         co_return nullptr;
     }
-    if (error) {
+    const bool body_refused = error == no_body_space();
+    if (error && !body_refused) {
         close();
         co_return nullptr;
     }
@@ -200,7 +204,15 @@
     request.received = received;
     for (const auto& field : message)
         request.fields.push_back({std::string(view(field.name_string())), std::string(view(field.value()))});
-    request.body = std::move(parser.get().body());
+    if (body_refused) {
+        const bool can_fit = context_->bodies.can_fit(stated_length(parser).value_or(0));
+        request.body_refused = {can_fit ? body_retry_after : core::duration::zero()};
+        request.keep_alive = false; // the rest of the body is not read
+    }
+    else {
+        request.body = std::move(parser.get().body());
+        request.claim = std::move(claim);
+    }
     co_return std::make_shared<caller_exchange>(shared_from_this(), std::move(request));
 }
 
@@ -229,7 +241,7 @@
 
 asio::awaitable<void> caller_session::discard_until_closed()
 {
-    std::array<char, 1024> discarded{};
+    std::array<char, 16384> discarded{};
     phase_ = read_phase::discarding;
     phase_began_ = context_->time.now();
     while (!closed_) {
@@ -323,6 +335,10 @@
         break;
     case read_phase::reading_head:
     case read_phase::reading_body:
+        if (claim_.revoked()) {
+            net::error_code ignored;
+            stream_->socket.cancel(ignored);
+        }
         if (elapsed >= (phase_ == read_phase::reading_head ? limits.header_timeout : limits.idle_timeout)) {
             timed_out_ = true;
             net::error_code ignored;
