Keep a closing connection until the caller's system has received the last answer

When the caller sends more afterwards, a reset drops the rest of the answer, and a request that a server answered whole is lost. Change: while bytes are unconfirmed, the connection stays open up to the callers' idle limit; otherwise 1 s, as before.

--- a/source/gateway/caller_session.cpp
+++ b/source/gateway/caller_session.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace knapweed::gateway {
@@ -22,7 +24,8 @@
 
 /** Requests of one connection that may be unanswered at a time; further ones stay unread. */
 constexpr std::size_t max_pipelined_requests = 32;
-/** Time that a caller has to read the last answer after this side has shut down sending. */
+/** Time for which a connection stays open after this side has shut down sending and the caller's system has
+   received the last answer. */
 constexpr core::milliseconds linger_time{1000};
 constexpr std::size_t initial_read_bytes = 2048;
 
@@ -309,7 +312,8 @@
         return;
     }
     if (sending_shut_down_) {
-        if (elapsed >= linger_time)
+        // If the caller sends more after the close, a reset takes along what it hasn't received yet.
+        if (elapsed >= (has_undelivered() ? std::max(limits.idle_timeout, linger_time) : linger_time))
             close();
         return;
     }
@@ -348,6 +352,13 @@
         close();
 }
 
+/** @returns whether the caller's system has not yet confirmed all that was written. */
+bool caller_session::has_undelivered()
+{
+    int bytes = 0;
+    return ::ioctl(stream_->socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 /** @returns 1 when a received byte can be read, 0 when the caller has closed the connection, and -1
  * otherwise. */
 int caller_session::peek()
--- a/source/gateway/caller_session.h
+++ b/source/gateway/caller_session.h
@@ -73,6 +73,7 @@
     void start(std::shared_ptr<caller_exchange> exchange, const session_context::handler& handle);
     void shut_down_sending();
     [[nodiscard]] int peek();
+    [[nodiscard]] bool has_undelivered();
 
     std::shared_ptr<session_context> context_;
     std::unique_ptr<stream> stream_;
