End the connection of a broken answer without a reset

When an answer broke off, the connection was closed at once. If its caller reads slowly and had sent, or sends, further bytes, a reset drops whole answers in front that the caller hasn't received yet. Change: the sending side is shut down after the part of the answer, and the connection stays until the caller closes it or the time for its last bytes has passed, as after a closing answer.

--- a/source/gateway/caller_exchange.cpp
+++ b/source/gateway/caller_exchange.cpp
@@ -195,7 +195,8 @@
 
 void caller_exchange::abort_answer()
 {
-    session_->close();
+    // Closing could reset the connection and take along earlier answers that the caller hasn't received yet.
+    session_->shut_down_sending();
 }
 
 } // namespace knapweed::gateway
--- a/source/gateway/caller_exchange.h
+++ b/source/gateway/caller_exchange.h
@@ -86,7 +86,7 @@
     net::asio::awaitable<bool> write_body(std::string_view part);
     /** Completes an answer that `begin_answer` began. */
     net::asio::awaitable<bool> end_answer();
-    /** Closes the connection of an answer that can't be completed, so that the caller detects that it is
+    /** Ends the connection of an answer that can't be completed, so that the caller detects that it is
         truncated. */
     void abort_answer();
 
--- a/tests/gateway/slow_caller_test.cpp
+++ b/tests/gateway/slow_caller_test.cpp
@@ -76,3 +76,14 @@
     caller.send("GET /files/3 HTTP/1.1\r\n");
     CHECK(caller.read_to_end().size() > body_bytes);
 }
+
+// Guards against a reset that takes along a whole answer in front of one that breaks off.
+TEST_CASE("a whole answer in front of one that breaks off reaches a caller that reads nothing for a while")
+{
+    slow_caller caller;
+    caller.send(make_download("1") + make_download("2"));
+    caller.send("GET /files/3 HTTP/1.1\r\n");
+    const auto text = caller.read_to_end();
+    CHECK(text.size() > body_bytes);
+    CHECK(text.size() < 2 * body_bytes);
+}
