--- a/source/gateway/caller_session.h
+++ b/source/gateway/caller_session.h
@@ -76,6 +76,7 @@
     void shut_down_sending();
     [[nodiscard]] int peek();
     [[nodiscard]] bool has_end_behind_unread();
+    [[nodiscard]] bool has_undelivered();
 
     std::shared_ptr<session_context> context_;
     std::unique_ptr<stream> stream_;
