Take nothing from an answer of the store that is malformed

Cause: parse_rows set the version and appended rows until it found the fault. The callers discard the result of a failed call, so no instance acted on it. Conclusion: a refused answer changes nothing, whoever calls.

--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -118,6 +118,19 @@
     }
 }
 
+// Guards against rows of a malformed answer that are taken for rows of the table.
+TEST_CASE("an answer that is malformed after some rows changes nothing")
+{
+    read_result result;
+    result.version = 7;
+    for (const auto* body : {R"({"ver":9,"rows":[{"key":"a","value":"YQ=="},{"key":4}]})", R"({"ver":9})",
+                             R"({"ver":9,"rows":[{"key":"a","value":"YQ=="}],"hasMore":4})"}) {
+        REQUIRE_FALSE(parse_rows(body, result));
+        CHECK(result.version == 7);
+        CHECK(result.rows.empty());
+    }
+}
+
 // Guards against an instance that stops following the table, or ends, because of one odd entry.
 TEST_CASE("a gateway follows the other entries of a list and of changes among which some are odd")
 {
