--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -131,6 +131,17 @@
     }
 }
 
+// Guards against versions of the store that are made from numbers that are none.
+TEST_CASE("an answer whose version is not a whole number is malformed")
+{
+    for (const auto* version : {"-1", "1e300", "2.5", "true", "18446744073709551616"}) {
+        read_result result;
+        CHECK_FALSE(parse_rows(std::string(R"({"ver":)") + version + R"(,"rows":[]})", result));
+        CHECK_FALSE(parse_rows(
+            std::string(R"({"ver":9,"rows":[{"key":"a","value":"","ver":)") + version + "}]}", result));
+    }
+}
+
 // Guards against an instance that stops following the table, or ends, because of one odd entry.
 TEST_CASE("a gateway follows the other entries of a list and of changes among which some are odd")
 {
