--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -142,6 +142,35 @@
     }
 }
 
+// Guards against a configuration whose numbers overflow what is computed with them.
+TEST_CASE("a configuration with an impossible number is refused")
+{
+    const auto with = [](const std::string& route, const std::string& service, const std::string& limits) {
+        return R"({"version":"1f","routes":{"r":{"host":"a","prefix":"/","kind":"safe","timeoutMs":800,)"
+               R"("service":"s1")" +
+               route + R"(}},"services":{"s1":{)" + service + R"(}},"limits":{)" + limits + "}}";
+    };
+    REQUIRE(std::holds_alternative<steering::traffic_policy>(decode_policy(
+        with(R"(,"priority":2,"maxAttempts":3)", R"("maxConns":360,"coldStartS":3.5,"coldPerS":9.7)",
+             R"("maxHeaderBytes":16384,"maxBodyBytes":1048576)"))));
+    for (const auto* number : {"-1", "1e300", "4294967296", "3.6e67"}) {
+        INFO(number);
+        for (const auto* key : {",\"priority\":", ",\"maxAttempts\":"})
+            CHECK(
+                std::holds_alternative<decode_error>(decode_policy(with(std::string(key) + number, "", ""))));
+        CHECK(std::holds_alternative<decode_error>(
+            decode_policy(with("", std::string("\"maxConns\":") + number, ""))));
+        CHECK(std::holds_alternative<decode_error>(
+            decode_policy(with("", "", std::string("\"maxHeaderBytes\":") + number))));
+    }
+    for (const auto* number : {"-1", "1e300", "86401"})
+        CHECK(std::holds_alternative<decode_error>(
+            decode_policy(with("", std::string("\"coldStartS\":") + number, ""))));
+    for (const auto* number : {"-1", "1e300", "18446744073709551616"})
+        CHECK(std::holds_alternative<decode_error>(
+            decode_policy(with("", "", std::string("\"maxBodyBytes\":") + number))));
+}
+
 // Guards against an instance that stops following the table, or ends, because of one odd entry.
 TEST_CASE("a gateway follows the other entries of a list and of changes among which some are odd")
 {
