--- a/source/steering/cold_start_limiter.cpp
+++ b/source/steering/cold_start_limiter.cpp
@@ -9,6 +9,7 @@
 /** Slightly more than the second over which a cold server's requests are counted, because network delays
  * vary. */
 constexpr core::milliseconds min_spacing{1100};
+constexpr std::chrono::hours max_spacing{24};
 
 } // namespace
 
@@ -33,9 +34,9 @@
         requests_per_second / static_cast<double>(std::max<std::size_t>(instances, 1));
     if (rate_per_instance <= 0)
         return min_spacing;
-    const auto spacing =
-        std::chrono::duration_cast<core::duration>(std::chrono::duration<double>(1 / rate_per_instance));
-    return std::max<core::duration>(min_spacing, spacing);
+    const std::chrono::duration<double> spacing(1 / rate_per_instance);
+    return std::chrono::duration_cast<core::duration>(
+        std::clamp<std::chrono::duration<double>>(spacing, min_spacing, max_spacing));
 }
 
 } // namespace knapweed::steering
--- a/tests/steering/estimates_test.cpp
+++ b/tests/steering/estimates_test.cpp
@@ -64,6 +64,13 @@
     REQUIRE_FALSE(failures.is_suspended());
 }
 
+// Guards against a cold server that gets requests at the highest rate because of an overflow.
+TEST_CASE("the pause between requests to a cold server is long for the smallest rate")
+{
+    REQUIRE(cold_start_spacing(1e-300, 1) >= std::chrono::hours(1));
+    REQUIRE(cold_start_spacing(1e-9, 1000) >= std::chrono::hours(1));
+}
+
 // Guards against more requests than a cold server can run: 9.7 per second, times 1.5, plus 5.
 TEST_CASE("the requests of ten instances to a cold server stay below its limit in any second")
 {
