Sum up the requests of other instances in 64 bits

Change: the sum has 64 bits; the estimate gets at most the largest unsigned number. Conclusion: found by reading; a damaged message no longer leaves a wrong sum behind when its instance sends the next one.

--- a/source/steering/peer_loads.cpp
+++ b/source/steering/peer_loads.cpp
@@ -1,6 +1,7 @@
 #include "steering/peer_loads.h"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 
 namespace knapweed::steering {
@@ -87,7 +88,7 @@
 void peer_loads::remove_entries(const peer& known_peer)
 {
     for (const auto& entry : known_peer.servers)
-        add_running(entry.server, -static_cast<int>(entry.running));
+        add_running(entry.server, -std::int64_t{entry.running});
 }
 
 void peer_loads::update(const instance_load& load)
@@ -100,9 +101,9 @@
     if (older)
         return;
     for (const auto& entry : latest.servers)
-        add_running(entry.server, -static_cast<int>(entry.running));
+        add_running(entry.server, -std::int64_t{entry.running});
     for (const auto& entry : load.servers)
-        add_running(entry.server, static_cast<int>(entry.running));
+        add_running(entry.server, std::int64_t{entry.running});
     for (const auto& entry : latest.servers)
         update_estimate(entry.server);
     for (const auto& entry : load.servers)
@@ -110,7 +111,7 @@
     latest = {load.incarnation, load.sequence, load.servers, load.region, time_.now()};
 }
 
-void peer_loads::add_running(std::uint32_t server, int difference)
+void peer_loads::add_running(std::uint32_t server, std::int64_t difference)
 {
     auto& running = running_[server];
     running += difference;
@@ -124,8 +125,9 @@
     if (!found)
         return;
     const auto running = running_.find(server);
-    found->occupancy().set_peer_requests(running == running_.end() ? 0
-                                                                   : static_cast<unsigned>(running->second));
+    constexpr std::int64_t most = std::numeric_limits<unsigned>::max();
+    found->occupancy().set_peer_requests(
+        running == running_.end() ? 0 : static_cast<unsigned>(std::min(running->second, most)));
 }
 
 void peer_loads::tick()
--- a/source/steering/peer_loads.h
+++ b/source/steering/peer_loads.h
@@ -64,13 +64,14 @@
 
     void remove_entries(const peer& known_peer);
     void remove_other_sums(const instance_load& load);
-    void add_running(std::uint32_t server, int difference);
+    void add_running(std::uint32_t server, std::int64_t difference);
     void update_estimate(std::uint32_t server);
 
     server_catalogue& servers_;
     const core::clock& time_;
     std::unordered_map<core::instance_id, peer> peers_;
-    std::unordered_map<std::uint32_t, int> running_; ///< requests of all other instances, by server hash
+    std::unordered_map<std::uint32_t, std::int64_t>
+        running_; ///< requests of all other instances, by server hash
 };
 
 } // namespace knapweed::steering
--- a/tests/steering/estimates_test.cpp
+++ b/tests/steering/estimates_test.cpp
@@ -64,6 +64,23 @@
     REQUIRE_FALSE(failures.is_suspended());
 }
 
+// Guards against numbers of requests in a damaged message that overflow the sum.
+TEST_CASE("load messages with impossible numbers are summed up and removed again")
+{
+    core::simulated_clock time;
+    server_catalogue servers(time);
+    servers.put(test::sample_server("s0"));
+    const auto server = servers.find(core::server_id{"s0"});
+    const auto server_hash = short_hash(*server);
+    constexpr auto most = std::numeric_limits<unsigned>::max();
+    peer_loads loads(servers, time);
+    loads.update({core::instance_id{"i2"}, {1}, 1, {{server_hash, most}, {server_hash, 1U << 31U}}});
+    loads.update({core::instance_id{"i3"}, {1}, 1, {{server_hash, 2}}});
+    REQUIRE(server->occupancy().others() == most);
+    loads.update({core::instance_id{"i2"}, {1}, 2, {}});
+    REQUIRE(server->occupancy().others() == 2);
+}
+
 // Guards against a cold server that gets requests at the highest rate because of an overflow.
 TEST_CASE("the pause between requests to a cold server is long for the smallest rate")
 {
