Keep idle connections for an hour at most

Cause: the timeout of a server's Keep-Alive field had no limit; one above 3e10 s overflows the clock's type, which is undefined. Change: the time is limited to an hour, as other times that servers state. Conclusion: servers state a few seconds, for which nothing changes.

--- a/source/gateway/message_heads.cpp
+++ b/source/gateway/message_heads.cpp
@@ -160,8 +160,7 @@
     const auto seconds = net::parse_number(digits);
     if (!seconds)
         return default_idle_time;
-    return std::chrono::duration_cast<core::duration>(
-        std::chrono::duration<double>(static_cast<double>(*seconds) * reusable_idle_fraction));
+    return to_duration(std::min(static_cast<double>(*seconds) * reusable_idle_fraction, max_parsed_seconds));
 }
 
 } // namespace knapweed::gateway
--- a/source/gateway/message_heads.h
+++ b/source/gateway/message_heads.h
@@ -45,7 +45,7 @@
 [[nodiscard]] std::optional<core::duration> parse_rest(std::string_view text);
 
 /** @returns how long an idle connection may be kept for reuse, from the `timeout` parameter of the server's
-    Keep-Alive field; a default when it is absent. */
+    Keep-Alive field; at most an hour, and a default when it is absent. */
 [[nodiscard]] core::duration usable_idle_time(std::string_view keep_alive);
 
 } // namespace knapweed::gateway
--- a/tests/gateway/parts_test.cpp
+++ b/tests/gateway/parts_test.cpp
@@ -212,6 +212,15 @@
         CHECK_FALSE(parse_rest(text));
 }
 
+// Guards against a connection that is kept for ever, or closed at once, because of an overflow.
+TEST_CASE("an idle connection is kept for an hour at most, whatever the server states")
+{
+    CHECK(usable_idle_time("timeout=4, max=9") == std::chrono::seconds(3));
+    CHECK(usable_idle_time("timeout=soon") == std::chrono::seconds(4));
+    for (const auto* text : {"timeout=77772", "timeout=99999999999", "timeout=18446744073709551615"})
+        CHECK(usable_idle_time(text) == std::chrono::hours(1));
+}
+
 // Guards against log lines that can't be parsed, and against injection through values that callers send.
 TEST_CASE("a log line is a single JSON object for any values")
 {
