Bound the memory that a transfer between instances takes

Cause: each row of a transfer could take 32 MB, however many there are and however small the message, since an unchanged row has no content and packed bytes expand; a delta of 32 MB of empty parts takes gigabytes as objects. Change: the values of a transfer take 32 MB together, a delta has at most 1 MB (a larger change is sent as a whole), and a size that the packed bytes can't expand to is refused before memory is reserved. Measured: three unit tests failed before and pass: 33 rows of 1 MB, a delta of 1 MB and two bytes, and unpacking to 2^60 bytes, which threw std::bad_alloc.

--- a/source/replication/packed_bytes.cpp
+++ b/source/replication/packed_bytes.cpp
@@ -12,6 +12,9 @@
     return reinterpret_cast<const Bytef*>(text.data());
 }
 
+/** Bytes that the format can expand one byte to, rounded up; its head and tail take a few more. */
+constexpr std::size_t max_expansion = 1040;
+
 } // namespace
 
 std::string pack(std::string_view bytes)
@@ -28,6 +31,8 @@
 
 std::optional<std::string> unpack(std::string_view packed, std::size_t size)
 {
+    if (size / max_expansion > packed.size())
+        return std::nullopt;
     std::string bytes(size, '\0');
     auto unpacked = static_cast<uLongf>(size);
     const int result = uncompress(reinterpret_cast<Bytef*>(bytes.data()), &unpacked, bytes_of(packed),
--- a/source/replication/row_archive.cpp
+++ b/source/replication/row_archive.cpp
@@ -32,9 +32,11 @@
         changed.hash = core::hash_text(row.value);
         if (make_deltas && stored.value.size() >= min_delta_base_bytes) {
             const auto delta = serialise(make_delta(stored.value, row.value));
-            changed.base_version = stored.version;
-            changed.delta_bytes = delta.size();
-            changed.packed_delta = pack(delta);
+            if (delta.size() <= max_delta_bytes) {
+                changed.base_version = stored.version;
+                changed.delta_bytes = delta.size();
+                changed.packed_delta = pack(delta);
+            }
         }
         stored = std::move(changed);
     }
@@ -60,17 +62,18 @@
     }
 }
 
-std::optional<steering::table_row> row_archive::unpack(const transferred_row& row) const
+std::optional<steering::table_row> row_archive::unpack(const transferred_row& row,
+                                                       std::size_t max_bytes) const
 {
     steering::table_row result{row.key, {}, row.version, row.form == row_form::removed};
     if (result.removed)
         return result;
-    if (row.size > max_value_bytes)
+    if (row.size > (row.form == row_form::delta ? max_delta_bytes : max_bytes))
         return std::nullopt;
     const auto own = rows_.find(row.key);
     std::optional<std::string> value;
     if (row.form == row_form::unchanged) {
-        if (own == rows_.end() || own->second.version != row.version)
+        if (own == rows_.end() || own->second.version != row.version || own->second.value.size() > max_bytes)
             return std::nullopt;
         value = own->second.value;
     }
@@ -81,7 +84,7 @@
         const auto delta = parse_delta(*value);
         if (!delta || own == rows_.end() || own->second.version != row.base_version)
             return std::nullopt;
-        value = apply_delta(own->second.value, *delta, max_value_bytes);
+        value = apply_delta(own->second.value, *delta, max_bytes);
     }
     if (!value || core::hash_text(*value) != row.hash)
         return std::nullopt;
@@ -97,10 +100,12 @@
     change.newest = transfer.newest;
     change.version = transfer.version;
     change.era = transfer.era;
+    std::size_t bytes_left = max_value_bytes;
     for (const auto& row : transfer.rows) {
-        auto unpacked = unpack(row);
+        auto unpacked = unpack(row, bytes_left);
         if (!unpacked)
             return std::nullopt;
+        bytes_left -= unpacked->value.size();
         change.rows.push_back(std::move(*unpacked));
     }
     return change;
--- a/source/replication/row_archive.h
+++ b/source/replication/row_archive.h
@@ -16,8 +16,10 @@
 */
 class row_archive {
 public:
-    /** Largest value of a row in bytes; a transfer with a larger one is malformed. */
+    /** Largest sum of the values of a transfer's rows in bytes; a larger one is malformed. */
     static constexpr std::size_t max_value_bytes = 32U << 20U;
+    /** Largest serialised delta in bytes; a larger change is sent as a whole. */
+    static constexpr std::size_t max_delta_bytes = 1U << 20U;
 
     explicit row_archive(steering::replicated_table table) : table_(table) {}
 
@@ -49,7 +51,8 @@
     };
 
     [[nodiscard]] static transferred_row describe(const std::string& key, stored_row& row, bool as_delta);
-    [[nodiscard]] std::optional<steering::table_row> unpack(const transferred_row& row) const;
+    [[nodiscard]] std::optional<steering::table_row> unpack(const transferred_row& row,
+                                                            std::size_t max_bytes) const;
 
     steering::replicated_table table_;
     std::map<std::string, stored_row> rows_;
--- a/tests/replication/byte_delta_test.cpp
+++ b/tests/replication/byte_delta_test.cpp
@@ -90,4 +90,8 @@
     packed[packed.size() / 2] = static_cast<char>(packed[packed.size() / 2] + 1);
     REQUIRE_FALSE(unpack(packed, text.size()));
     REQUIRE(unpack(pack(""), 0) == "");
+    // More than the format can expand to isn't even reserved.
+    REQUIRE_FALSE(unpack(pack(text), static_cast<std::size_t>(1) << 60U));
+    const std::string zeros(32U << 20U, '\0');
+    REQUIRE(unpack(pack(zeros), zeros.size()) == zeros);
 }
--- a/tests/replication/row_archive_test.cpp
+++ b/tests/replication/row_archive_test.cpp
@@ -95,6 +95,54 @@
     REQUIRE_FALSE(other.unpack(holder.transfer_after(5, change_of(7, ""))));
 }
 
+// Guards against a small transfer that takes the memory of the instance that unpacks it.
+TEST_CASE("a transfer whose rows exceed the limit together is refused")
+{
+    constexpr std::size_t large = 1U << 20U;
+    constexpr std::size_t most_rows = row_archive::max_value_bytes / large;
+    const std::string value(large, 'x');
+    row_archive archive(replicated_table::operators);
+    archive.apply({{"config", value, 5, false}}, true, false);
+    table_transfer transfer;
+    const transferred_row unchanged{"config", 5, row_form::unchanged, 0, 0, core::hash_text(value), {}};
+    transfer.rows.assign(most_rows, unchanged);
+    REQUIRE(archive.unpack(transfer));
+    transfer.rows.push_back(unchanged);
+    REQUIRE_FALSE(archive.unpack(transfer));
+
+    const auto packed = pack(value);
+    transfer.rows.clear();
+    for (std::size_t i = 0; i < most_rows; ++i)
+        transfer.rows.push_back(
+            {std::to_string(i), 5, row_form::whole, 0, value.size(), core::hash_text(value), packed});
+    REQUIRE(archive.unpack(transfer));
+    transfer.rows.push_back({"more", 5, row_form::whole, 0, 1, core::hash_text("x"), pack("x")});
+    REQUIRE_FALSE(archive.unpack(transfer));
+}
+
+// Guards against the memory that a delta of millions of empty parts takes.
+TEST_CASE("a delta of more bytes than any useful one is refused, and none is sent")
+{
+    auto archive = make_archive();
+    std::string parts;
+    for (std::size_t i = 0; i <= row_archive::max_delta_bytes / 2; ++i)
+        parts += std::string_view("\n\0", 2);
+    table_transfer transfer;
+    transfer.rows = {{"config", 6, row_form::delta, 5, parts.size(), core::hash_text(""), pack(parts)}};
+    REQUIRE_FALSE(archive.unpack(transfer));
+    transfer.rows = {{"config", 6, row_form::delta, 5, 2, core::hash_text(""), pack(parts.substr(0, 2))}};
+    REQUIRE(archive.unpack(transfer));
+
+    std::string incompressible;
+    core::random_source random(5);
+    for (std::size_t i = 0; i <= row_archive::max_delta_bytes; ++i)
+        incompressible += static_cast<char>(random.below(256));
+    archive.apply(change_of(6, incompressible).rows, false, true);
+    const auto sent = archive.transfer_of(change_of(6, incompressible));
+    REQUIRE(sent.rows.front().form == row_form::whole);
+    REQUIRE(make_archive().unpack(sent));
+}
+
 // Guards against a damaged message of another instance that ends the process or changes the configuration.
 TEST_CASE("damaged transfers are refused or yield the rows that were sent")
 {
