Allow for the block that the generated code reserves in the datagrams' target

Cause: for a text whose length is announced, but which the datagram doesn't have, the protobuf library reserves up to 50 MB, which it doesn't write to, and then refuses the message. The target's first version counted this block. Change: the largest block is counted by itself, with the library's limit; all others are bounded by the datagram's size as before. Conclusion: not a fault of ours, and one such block at a time at most.

--- a/tests/fuzz/allocation_meter.h
+++ b/tests/fuzz/allocation_meter.h
@@ -14,6 +14,8 @@
 
     /** @returns the bytes allocated since the construction, freed ones included. */
     [[nodiscard]] static std::size_t allocated_bytes();
+    /** @returns the bytes of the largest block allocated since the construction. */
+    [[nodiscard]] static std::size_t largest_block_bytes();
 };
 
 } // namespace knapweed::fuzz
