--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -3,7 +3,6 @@
 #include "gateway/connect_limit.h"
 #include "gateway/message_heads.h"
 #include "gateway/request_log.h"
-#include "net/parse_number.h"
 
 #include <algorithm>
 #include <vector>
@@ -78,8 +77,7 @@
     facts.received = request.received;
     if (const auto object = request.cookie(context_.dialect.object_cookie); !object.empty())
         facts.object_hash = core::hash_text(object, core::hash_text(facts.host));
-    if (const auto limit = net::parse_number(request.field(context_.dialect.time_limit_field)))
-        facts.time_limit = core::milliseconds(*limit);
+    facts.time_limit = parse_milliseconds(request.field(context_.dialect.time_limit_field));
     if (origin_)
         facts.relayed_sends = origin_->max_sends;
     facts.answers_due = context_.shutdown.answers_due();
--- a/source/gateway/message_heads.cpp
+++ b/source/gateway/message_heads.cpp
@@ -149,6 +149,15 @@
                    : std::nullopt;
 }
 
+std::optional<core::milliseconds> parse_milliseconds(std::string_view text)
+{
+    constexpr core::milliseconds most = std::chrono::hours(24);
+    const auto number = net::parse_number(text);
+    if (!number)
+        return std::nullopt;
+    return core::milliseconds(std::min(*number, static_cast<std::uint64_t>(most.count())));
+}
+
 core::duration usable_idle_time(std::string_view keep_alive)
 {
     constexpr std::string_view parameter = "timeout=";
--- a/source/gateway/message_heads.h
+++ b/source/gateway/message_heads.h
@@ -44,6 +44,10 @@
     for any other text, a date and a negative number among them. */
 [[nodiscard]] std::optional<core::duration> parse_rest(std::string_view text);
 
+/** @returns the time that a whole number of milliseconds states, at most a day; nothing for any other text.
+ */
+[[nodiscard]] std::optional<core::milliseconds> parse_milliseconds(std::string_view text);
+
 /** @returns how long an idle connection may be kept for reuse, from the `timeout` parameter of the server's
     Keep-Alive field; at most an hour, and a default when it is absent. */
 [[nodiscard]] core::duration usable_idle_time(std::string_view keep_alive);
--- a/source/gateway/upstream_exchange.cpp
+++ b/source/gateway/upstream_exchange.cpp
@@ -2,7 +2,6 @@
 
 #include "gateway/message_heads.h"
 #include "gateway/relay_fields.h"
-#include "net/parse_number.h"
 #include "net/time_limit.h"
 
 #include <array>
@@ -162,8 +161,7 @@
         result.request_limit = dialect_.parse_request_limit(limit);
         result.malformed_limit = !result.request_limit;
     }
-    if (const auto remaining_ms = net::parse_number(connection_->field(dialect_.remaining_cold_time_field)))
-        result.remaining_cold_time = core::milliseconds(*remaining_ms);
+    result.remaining_cold_time = parse_milliseconds(connection_->field(dialect_.remaining_cold_time_field));
     result.answer_kilobytes =
         static_cast<double>(connection_->content_length().value_or(buffered_body_.size())) /
         bytes_per_kilobyte;
--- a/tests/gateway/forwarding_test.cpp
+++ b/tests/gateway/forwarding_test.cpp
@@ -299,3 +299,23 @@
     REQUIRE(contains(forwarded, "Content-Length: 5\r\n"));
     REQUIRE(forwarded.ends_with("abcde"));
 }
+
+// Guards against a time that a caller or a server states beyond the clock's range and that becomes negative.
+TEST_CASE("a request is served whatever time limit and cold time are stated for it")
+{
+    for (const auto* stated : {"9223372036854775", "9223372036854775807", "18446744073709551615"}) {
+        INFO(stated);
+        forwarding_fixture fixture(
+            {[stated](const auto&) {
+                return scripted_reply{make_reply(
+                    "200 OK", std::string("X-Id: 1\r\nX-Seal: s\r\nX-Cold: ") + stated + "\r\n", "served")};
+            }},
+            false, core::milliseconds(2000));
+        test_client client(fixture.port());
+        auto request = make_request("1", "POST", "Connection: close\r\n");
+        const std::string usual = "X-Left: 4000";
+        request.replace(request.find(usual), usual.size(), std::string("X-Left: ") + stated);
+        client.send(request);
+        CHECK(client.read_to_end().starts_with("HTTP/1.1 200"));
+    }
+}
--- a/tests/platform/fuzz/answer_fields_target.cpp
+++ b/tests/platform/fuzz/answer_fields_target.cpp
@@ -21,6 +21,9 @@
     const auto idle_time = gateway::usable_idle_time(value);
     fuzz::require(idle_time.count() >= 0 && idle_time <= std::chrono::hours(1),
                   "a connection is kept for an hour at most");
+    const auto time = gateway::parse_milliseconds(value);
+    fuzz::require(!time || (time->count() >= 0 && *time <= std::chrono::hours(24)),
+                  "a time is at most a day");
     const auto limit = platform::parse_request_limit(value);
     fuzz::require(!limit || (std::isfinite(*limit) && *limit >= 0), "a limit is finite");
     fuzz::require(platform::parse_leaving(value) == (value == "1"), "only 1 states that a server leaves");
