Limit the number of instances that send to a cold server

Cause: it is computed from the configured rate, and casting a number above 1.8e19, or a negative one, is undefined; for 1e300 per second the result was 1. Change: it is limited to 1 to 1000000 before the cast. Conclusion: rates of real configurations give what they gave.

--- a/source/steering/cold_sender_selector.cpp
+++ b/source/steering/cold_sender_selector.cpp
@@ -53,7 +53,8 @@
 std::size_t max_cold_senders(double requests_per_second, double multiplier, double slack)
 {
     const double limit = requests_per_second * multiplier + slack;
-    return std::max<std::size_t>(static_cast<std::size_t>(limit * usable_share), 1);
+    constexpr double most = 1e6; // more than any number of instances
+    return static_cast<std::size_t>(std::clamp(limit * usable_share, 1.0, most));
 }
 
 } // namespace knapweed::steering
--- a/tests/steering/estimates_test.cpp
+++ b/tests/steering/estimates_test.cpp
@@ -88,6 +88,15 @@
     REQUIRE(cold_start_spacing(1e-9, 1000) >= std::chrono::hours(1));
 }
 
+// Guards against a configured rate whose number of senders overflows.
+TEST_CASE("the number of instances that send to a cold server is at least one and limited")
+{
+    REQUIRE(max_cold_senders(1e300, 1.5, 5) >= 1000);
+    REQUIRE(max_cold_senders(1e300, 1.5, 5) <= 1000000);
+    REQUIRE(max_cold_senders(-1e300, 1.5, 5) == 1);
+    REQUIRE(max_cold_senders(0, 1.5, 5) >= 1);
+}
+
 // Guards against more requests than a cold server can run: 9.7 per second, times 1.5, plus 5.
 TEST_CASE("the requests of ten instances to a cold server stay below its limit in any second")
 {
