Refuse rows without a version in transfers between instances

Cause: a row of version 0 counts as known to every receiver, so a copy with such a row names it without its content, and each instance that asks for the copy refuses it. Change: a transfer with a row of version 0 is refused; the store's versions begin with 1. Conclusion: such a row comes from a damaged message only.

--- a/source/replication/row_archive.cpp
+++ b/source/replication/row_archive.cpp
@@ -68,7 +68,8 @@
     steering::table_row result{row.key, {}, row.version, row.form == row_form::removed};
     if (result.removed)
         return result;
-    if (row.size > (row.form == row_form::delta ? max_delta_bytes : max_bytes))
+    // The store's versions begin with 1. A copy with a row of version 0 could not be passed on.
+    if (row.version == 0 || row.size > (row.form == row_form::delta ? max_delta_bytes : max_bytes))
         return std::nullopt;
     const auto own = rows_.find(row.key);
     std::optional<std::string> value;
--- a/tests/replication/row_archive_test.cpp
+++ b/tests/replication/row_archive_test.cpp
@@ -120,6 +120,16 @@
     REQUIRE_FALSE(archive.unpack(transfer));
 }
 
+// Guards against a damaged transfer after which no other instance can take its copy from the receiver.
+TEST_CASE("a row without a version is refused")
+{
+    table_transfer transfer;
+    transfer.rows = {{"config", 0, row_form::whole, 0, 1, core::hash_text("x"), pack("x")}};
+    REQUIRE_FALSE(make_archive().unpack(transfer));
+    transfer.rows.front().version = 1;
+    REQUIRE(make_archive().unpack(transfer));
+}
+
 // Guards against the memory that a delta of millions of empty parts takes.
 TEST_CASE("a delta of more bytes than any useful one is refused, and none is sent")
 {
