Pass on the content of a row that is stored, not that of another one of its name

Cause: of a row that a transfer names twice, the packed content of both was kept, the value of the last one; the copies that were made of it were refused because of their hash. Change: packed content is kept only if it is that of the stored value.

--- a/source/replication/row_archive.cpp
+++ b/source/replication/row_archive.cpp
@@ -49,7 +49,7 @@
     apply(change.rows, transfer.complete, false);
     for (const auto& row : transfer.rows) {
         const auto found = rows_.find(row.key);
-        if (found == rows_.end() || found->second.version != row.version)
+        if (found == rows_.end() || found->second.version != row.version || found->second.hash != row.hash)
             continue;
         if (row.form == row_form::whole) {
             found->second.packed_value = row.packed;
--- a/tests/replication/row_archive_test.cpp
+++ b/tests/replication/row_archive_test.cpp
@@ -130,6 +130,24 @@
     REQUIRE(make_archive().unpack(transfer));
 }
 
+// Guards against a row that is passed on with the content of another one of the same name.
+TEST_CASE("of a row that a transfer names twice the content that was stored is passed on")
+{
+    auto archive = make_archive();
+    table_transfer transfer;
+    const auto delta = serialise({{"", 0, 2000}});
+    const auto value = large_value(300).substr(0, 2000);
+    transfer.rows = {{"config", 6, row_form::whole, 0, 1, core::hash_text("x"), pack("x")},
+                     {"config", 6, row_form::delta, 5, delta.size(), core::hash_text(value), pack(delta)}};
+    const auto change = archive.unpack(transfer);
+    REQUIRE(change);
+    archive.apply(transfer, *change);
+    row_archive next(replicated_table::operators);
+    const auto received = next.unpack(archive.transfer_after(0, change_of(6, "")));
+    REQUIRE(received);
+    REQUIRE(received->rows.front().value == value);
+}
+
 // Guards against the memory that a delta of millions of empty parts takes.
 TEST_CASE("a delta of more bytes than any useful one is refused, and none is sent")
 {
