--- a/source/gateway/message_heads.cpp
+++ b/source/gateway/message_heads.cpp
@@ -149,6 +149,15 @@
                    : std::nullopt;
 }
 
+std::optional<core::milliseconds> parse_milliseconds(std::string_view text)
+{
+    constexpr core::milliseconds most = std::chrono::hours(24);
+    const auto number = net::parse_number(text);
+    if (!number)
+        return std::nullopt;
+    return core::milliseconds(std::min(*number, static_cast<std::uint64_t>(most.count())));
+}
+
 core::duration usable_idle_time(std::string_view keep_alive)
 {
     constexpr std::string_view parameter = "timeout=";
@@ -160,8 +169,7 @@
     const auto seconds = net::parse_number(digits);
     if (!seconds)
         return default_idle_time;
-    return std::chrono::duration_cast<core::duration>(
-        std::chrono::duration<double>(static_cast<double>(*seconds) * reusable_idle_fraction));
+    return to_duration(std::min(static_cast<double>(*seconds) * reusable_idle_fraction, max_parsed_seconds));
 }
 
 } // namespace knapweed::gateway
--- a/source/gateway/upstream_exchange.cpp
+++ b/source/gateway/upstream_exchange.cpp
@@ -2,7 +2,6 @@
 
 #include "gateway/message_heads.h"
 #include "gateway/relay_fields.h"
-#include "net/parse_number.h"
 #include "net/time_limit.h"
 
 #include <array>
@@ -20,8 +19,8 @@
    copies its refusals may have refused several requests before. */
 constexpr unsigned max_stale_answers = 16;
 constexpr std::size_t max_stale_answer_bytes = 1U << 20U;
-/** A server isn't cold for longer; a larger time would overflow what is computed with it. */
-constexpr std::chrono::duration<std::uint64_t, std::milli> max_cold_time = std::chrono::hours(24);
+/** A server isn't cold for this long; what states it can't be right. */
+constexpr core::milliseconds max_cold_time = std::chrono::hours(24);
 constexpr double bytes_per_kilobyte = 1024;
 
 } // namespace
@@ -162,9 +161,9 @@
         result.request_limit = dialect_.parse_request_limit(limit);
         result.malformed_limit = !result.request_limit;
     }
-    const auto remaining_ms = net::parse_number(connection_->field(dialect_.remaining_cold_time_field));
-    if (remaining_ms && *remaining_ms <= max_cold_time.count())
-        result.remaining_cold_time = core::milliseconds(*remaining_ms);
+    const auto cold_time = parse_milliseconds(connection_->field(dialect_.remaining_cold_time_field));
+    if (cold_time && *cold_time < max_cold_time)
+        result.remaining_cold_time = cold_time;
     result.answer_kilobytes =
         static_cast<double>(connection_->content_length().value_or(buffered_body_.size())) /
         bytes_per_kilobyte;
--- a/tests/gateway/closed_session_test.cpp
+++ b/tests/gateway/closed_session_test.cpp
@@ -55,6 +55,7 @@
     }
 
 private:
+    body_budget bodies_{body_limits{}};
     boost::asio::io_context io_{1};
     net::tcp::acceptor acceptor_{io_, {boost::asio::ip::address_v4::loopback(), 0}};
     net::tcp::socket caller_{io_};
@@ -63,7 +64,7 @@
     graceful_shutdown shutdown_{time_};
     std::shared_ptr<request_counts> counts_ = std::make_shared<request_counts>();
     std::shared_ptr<session_context> context_ = std::make_shared<session_context>(session_context{
-        time_, metrics_, shutdown_, [] { return steering::caller_limits{}; },
+        time_, metrics_, shutdown_, bodies_, [] { return steering::caller_limits{}; },
         [counts = counts_](auto exchange) { return hold_request(std::move(exchange), counts); },
         [](std::string_view) {}});
     std::shared_ptr<caller_session> session_;
--- a/tests/gateway/session_model_gateway.cpp
+++ b/tests/gateway/session_model_gateway.cpp
@@ -59,7 +59,7 @@
                metrics_,           log_,  relays_,  shutdown_},
       listener_(io_.get_executor(),
                 std::make_shared<gateway::session_context>(gateway::session_context{
-                    time_, metrics_, shutdown_, [this] { return steerer_.policy()->limits; },
+                    time_, metrics_, shutdown_, bodies_, [this] { return steerer_.policy()->limits; },
                     [this](auto exchange) { return forward(std::move(exchange)); },
                     [this](std::string_view error) { errors_.emplace_back(error); }}),
                 64)
--- a/tests/gateway/session_model_gateway.h
+++ b/tests/gateway/session_model_gateway.h
@@ -38,6 +38,7 @@
     gateway::gateway_metrics metrics_;
     gateway::event_log log_;
     steering::steerer steerer_;
+    gateway::body_budget bodies_{gateway::make_body_limits(160000000)};
     boost::asio::io_context io_{1};
     net::connection_pool connections_;
     gateway::relay_sender relays_;
--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -86,8 +86,8 @@
         if (length % 4 != 0)
             CHECK_FALSE(decode_base64(std::string_view(sound).substr(0, length)));
     }
-    for (const auto* text : {"YQ", "YQ=", "YQ==YQ==", "YR==", "Y===", "====", "YW=j", "YW Jj", "YWJj\n",
-                             " YWJj", "YW\r\n", "YW-j", "YW_j", "YWJ\xff", "YWI=YWI="})
+    for (const auto* text : {"YQ", "YQ=", "YQ==YQ==", "YR==", "Y===", "A===", "YWJjA===", "====", "YW=j",
+                             "YW Jj", "YWJj\n", " YWJj", "YW\r\n", "YW-j", "YW_j", "YWJ\xff", "YWI=YWI="})
         CHECK_FALSE(decode_base64(text));
     CHECK_FALSE(decode_base64(std::string("YWI\0", 4)));
     CHECK(decode_base64("").value().empty());
@@ -118,6 +118,59 @@
     }
 }
 
+// Guards against rows of a malformed answer that are taken for rows of the table.
+TEST_CASE("an answer that is malformed after some rows changes nothing")
+{
+    read_result result;
+    result.version = 7;
+    for (const auto* body : {R"({"ver":9,"rows":[{"key":"a","value":"YQ=="},{"key":4}]})", R"({"ver":9})",
+                             R"({"ver":9,"rows":[{"key":"a","value":"YQ=="}],"hasMore":4})"}) {
+        REQUIRE_FALSE(parse_rows(body, result));
+        CHECK(result.version == 7);
+        CHECK(result.rows.empty());
+    }
+}
+
+// Guards against versions of the store that are made from numbers that are none.
+TEST_CASE("an answer whose version is not a whole number is malformed")
+{
+    for (const auto* version : {"-1", "1e300", "2.5", "true", "18446744073709551616"}) {
+        read_result result;
+        CHECK_FALSE(parse_rows(std::string(R"({"ver":)") + version + R"(,"rows":[]})", result));
+        CHECK_FALSE(parse_rows(
+            std::string(R"({"ver":9,"rows":[{"key":"a","value":"","ver":)") + version + "}]}", result));
+    }
+}
+
+// Guards against a configuration whose numbers overflow what is computed with them.
+TEST_CASE("a configuration with an impossible number is refused")
+{
+    const auto with = [](const std::string& route, const std::string& service, const std::string& limits) {
+        return R"({"version":"1f","routes":{"r":{"host":"a","prefix":"/","kind":"safe","timeoutMs":800,)"
+               R"("service":"s1")" +
+               route + R"(}},"services":{"s1":{)" + service + R"(}},"limits":{)" + limits + "}}";
+    };
+    REQUIRE(std::holds_alternative<steering::traffic_policy>(decode_policy(
+        with(R"(,"priority":2,"maxAttempts":3)", R"("maxConns":360,"coldStartS":3.5,"coldPerS":9.7)",
+             R"("maxHeaderBytes":16384,"maxBodyBytes":1048576)"))));
+    for (const auto* number : {"-1", "1e300", "4294967296", "3.6e67"}) {
+        INFO(number);
+        for (const auto* key : {",\"priority\":", ",\"maxAttempts\":"})
+            CHECK(
+                std::holds_alternative<decode_error>(decode_policy(with(std::string(key) + number, "", ""))));
+        CHECK(std::holds_alternative<decode_error>(
+            decode_policy(with("", std::string("\"maxConns\":") + number, ""))));
+        CHECK(std::holds_alternative<decode_error>(
+            decode_policy(with("", "", std::string("\"maxHeaderBytes\":") + number))));
+    }
+    for (const auto* number : {"-1", "1e300", "86401"})
+        CHECK(std::holds_alternative<decode_error>(
+            decode_policy(with("", std::string("\"coldStartS\":") + number, ""))));
+    for (const auto* number : {"-1", "1e300", "18446744073709551616"})
+        CHECK(std::holds_alternative<decode_error>(
+            decode_policy(with("", "", std::string("\"maxBodyBytes\":") + number))));
+}
+
 // Guards against an instance that stops following the table, or ends, because of one odd entry.
 TEST_CASE("a gateway follows the other entries of a list and of changes among which some are odd")
 {
