Give builds that don't know grace_s the grace period as before

A build of before under the new template would take its default of 6 s. Change: the template states both; grace_ms is read only without grace_s, so that a fraction in it is no error.

--- a/source/gateway/gateway_settings.cpp
+++ b/source/gateway/gateway_settings.cpp
@@ -131,8 +131,9 @@
     settings.peer_address = reader.address("listen.peers");
     settings.metrics_address = reader.address("listen.metrics");
     settings.store_address = reader.address("platform.store");
-    settings.grace_period = reader.time("timing.grace_ms", settings.grace_period, 1000, 600000);
-    settings.grace_period = reader.seconds("timing.grace_s", settings.grace_period, 1, 600);
+    settings.grace_period = tree.get_optional<std::string>("timing.grace_s")
+                                ? reader.seconds("timing.grace_s", settings.grace_period, 1, 600)
+                                : reader.time("timing.grace_ms", settings.grace_period, 1000, 600000);
     settings.lookup_ttl = reader.time("timing.lookup_ttl_ms", settings.lookup_ttl, 100, 600000);
     settings.capacity = reader.number("instance.cpu_share", 1, 0.001, 1000) *
                         reader.number("instance.core_speed", 1, 0.001, 1000);
