Weigh the ends of servers by what ran and ended beside a request

Cause: three ends, one of them under a run that began after another end, quarantined a request, whatever else ended. When half of the servers crash at the same moment, an attempt is sent again from one to another that crashes just then, which looks like a sequence; and on a busy machine a sound request may get no answer between two such moments. A report was also believed to show a sequence if its earlier end had been cleared by an answer here. Change: crash_attribution decides from the evidence against all requests. An end is shared with the other repeated requests at the same process; ended processes without the request speak for another cause; two in sequence prove something only a second apart; four in sequence always suffice. The order of reported ends is taken from the sender's clock, without those that were answered since. Nothing changes on the wire. Where a deadly request is sent often, about one server more ends.

--- a/source/steering/request_quarantine.cpp
+++ b/source/steering/request_quarantine.cpp
@@ -16,20 +16,39 @@
 /** Limit of the reports in a message, of which each takes at most 70 bytes. */
 constexpr std::size_t max_reports = 64;
 constexpr std::size_t max_reported_ends = 8;
+constexpr std::size_t suspected_sequence = 2;
 /** A message may take this long; what it reports is older by as much than it states. */
 constexpr core::milliseconds transit_allowance{150};
 /** An answer that is reported again seems younger each time, by the time that the message took. */
 constexpr core::milliseconds same_answer{500};
 
-std::optional<crash_suspicion> suspicion_of(const crash_evidence& evidence)
+/** @returns the number of ends in sequence that the sender knows, by its own clock, without those up to
+   @p answered_age ago. */
+std::size_t reported_sequence(const crash_report& report, std::optional<core::milliseconds> answered_age)
 {
-    if (evidence.is_confirmed())
-        return crash_suspicion::quarantined;
-    return evidence.is_suspected() ? std::optional(crash_suspicion::suspected) : std::nullopt;
+    crash_evidence evidence;
+    bool all_count = true;
+    for (std::size_t i = 0; i < std::min(report.ends.size(), max_reported_ends); ++i) {
+        const auto& end = report.ends[i];
+        const bool counts = !answered_age || end.ended_age < *answered_age;
+        all_count = all_count && counts;
+        if (counts)
+            evidence.add(
+                {end.process, core::time_point() - end.began_age, core::time_point() - end.ended_age});
+    }
+    // The sender may know the order from another instance, and can't derive it from the times.
+    return all_count ? std::max(evidence.sequence(), suspected_sequence) : evidence.sequence();
 }
 
 } // namespace
 
+std::optional<crash_suspicion> request_quarantine::entry::suspicion() const
+{
+    if (is_quarantined)
+        return crash_suspicion::quarantined;
+    return evidence.is_suspected() ? std::optional(crash_suspicion::suspected) : std::nullopt;
+}
+
 bool request_quarantine::refuses(request_plan& plan) const
 {
     if (targets_.empty() || !targets_.contains(target_hash(plan.identity)))
@@ -38,7 +57,7 @@
     const auto fingerprints = plan.fingerprints->all();
     return std::any_of(fingerprints.begin(), fingerprints.end(), [this](core::fingerprint request) {
         const auto found = entries_.find(request);
-        return found != entries_.end() && found->second.evidence.is_confirmed();
+        return found != entries_.end() && found->second.is_quarantined;
     });
 }
 
@@ -76,16 +95,18 @@
 {
     if (!plan.fingerprints)
         return;
-    for (const auto request : plan.fingerprints->all()) {
-        if (clear(request, time_.now(), crash_suspicion::answered))
-            has_news_ = true;
-    }
+    bool has_cleared = false;
+    for (const auto request : plan.fingerprints->all())
+        has_cleared = clear(request, time_.now(), crash_suspicion::answered) || has_cleared;
+    has_news_ = has_news_ || has_cleared;
+    attribute_ends();
 }
 
 void request_quarantine::release(core::fingerprint request)
 {
     if (clear(request, time_.now(), crash_suspicion::released))
         has_news_ = true;
+    attribute_ends();
 }
 
 bool request_quarantine::clear(core::fingerprint request, core::time_point when, crash_suspicion cause)
@@ -93,13 +114,15 @@
     const auto found = entries_.find(request);
     if (found == entries_.end())
         return false;
-    auto& [evidence, changed] = found->second;
-    const auto before = suspicion_of(evidence);
-    if (!evidence.answered(when))
+    auto& known = found->second;
+    const auto before = known.suspicion();
+    if (!known.evidence.answered(when))
         return false;
-    changed = time_.now();
-    if (before && !suspicion_of(evidence))
-        notify(request, evidence, cause);
+    known.changed = time_.now();
+    evidence_changed_ = true;
+    known.is_quarantined = known.is_quarantined && known.evidence.is_conclusive();
+    if (before && !known.suspicion())
+        notify(request, known.evidence, cause);
     return true;
 }
 
@@ -109,8 +132,8 @@
         return found->second;
     if (entries_.size() >= max_entries) {
         erase(std::min_element(entries_.begin(), entries_.end(), [](const auto& a, const auto& b) {
-            return std::pair(a.second.evidence.is_confirmed(), a.second.changed) <
-                   std::pair(b.second.evidence.is_confirmed(), b.second.changed);
+            return std::pair(a.second.is_quarantined, a.second.changed) <
+                   std::pair(b.second.is_quarantined, b.second.changed);
         }));
     }
     ++targets_[target_hash(request)];
@@ -127,16 +150,33 @@
 
 bool request_quarantine::add_end(core::fingerprint request, const server_end& end)
 {
-    auto& [evidence, changed] = find_or_add(request);
-    const auto before = suspicion_of(evidence);
-    if (!evidence.add(end))
+    ended_processes_.record(end.process, target_hash(request), end.ended);
+    auto& known = find_or_add(request);
+    const auto before = known.suspicion();
+    if (!known.evidence.add(end))
         return false;
-    changed = time_.now();
-    if (const auto after = suspicion_of(evidence); after && after != before)
-        notify(request, evidence, *after);
+    known.changed = time_.now();
+    evidence_changed_ = true;
+    if (const auto after = known.suspicion(); after && after != before)
+        notify(request, known.evidence, *after);
     return true;
 }
 
+void request_quarantine::attribute_ends()
+{
+    if (!std::exchange(evidence_changed_, false))
+        return;
+    crash_attribution attribution(ended_processes_);
+    for (const auto& [request, known] : entries_)
+        attribution.add(request, known.evidence);
+    for (auto& [request, known] : entries_) {
+        if (known.is_quarantined || !attribution.is_cause(request, known.evidence))
+            continue;
+        known.is_quarantined = true;
+        notify(request, known.evidence, crash_suspicion::quarantined);
+    }
+}
+
 void request_quarantine::notify(core::fingerprint request, const crash_evidence& evidence,
                                 crash_suspicion suspicion) const
 {
@@ -158,11 +198,15 @@
     const auto found = entries_.find(report.request);
     if (!report.suspected || found == entries_.end())
         return is_new;
-    auto& evidence = found->second.evidence;
-    const auto before = suspicion_of(evidence);
-    evidence.suspect();
-    if (const auto after = suspicion_of(evidence); after && after != before)
-        notify(report.request, evidence, *after);
+    auto& known = found->second;
+    const auto before = known.suspicion();
+    std::optional<core::milliseconds> answered_age;
+    if (const auto answered_at = known.evidence.answered_at())
+        answered_age = std::chrono::duration_cast<core::milliseconds>(now - *answered_at);
+    const auto sequence = reported_sequence(report, answered_age);
+    evidence_changed_ = known.evidence.add_sequence(sequence) || evidence_changed_;
+    if (const auto after = known.suspicion(); after && after != before)
+        notify(report.request, known.evidence, *after);
     return is_new;
 }
 
@@ -182,6 +226,7 @@
         is_new = add_ends(report) || is_new;
         has_news_ = has_news_ || (is_new && forwards);
     }
+    attribute_ends();
 }
 
 std::vector<crash_report> request_quarantine::reports() const
@@ -189,15 +234,15 @@
     const auto now = time_.now();
     std::vector<entries::const_iterator> chosen;
     for (auto found = entries_.begin(); found != entries_.end(); ++found) {
-        const auto& [evidence, changed] = found->second;
-        const bool answered_lately = evidence.answered_at() && now - changed < answer_lifetime;
-        if (!evidence.ends().empty() || answered_lately)
+        const auto& known = found->second;
+        const bool answered_lately = known.evidence.answered_at() && now - known.changed < answer_lifetime;
+        if (!known.evidence.ends().empty() || answered_lately)
             chosen.push_back(found);
     }
     const auto end = chosen.begin() + static_cast<std::ptrdiff_t>(std::min(chosen.size(), max_reports));
     std::partial_sort(chosen.begin(), end, chosen.end(), [](const auto& a, const auto& b) {
-        return std::pair(a->second.evidence.is_confirmed(), a->second.changed) >
-               std::pair(b->second.evidence.is_confirmed(), b->second.changed);
+        return std::pair(a->second.is_quarantined, a->second.changed) >
+               std::pair(b->second.is_quarantined, b->second.changed);
     });
     chosen.erase(end, chosen.end());
     const auto age = [now](core::time_point when) {
@@ -217,23 +262,23 @@
 
 std::size_t request_quarantine::quarantined() const
 {
-    return static_cast<std::size_t>(std::count_if(entries_.begin(), entries_.end(), [](const auto& known) {
-        return known.second.evidence.is_confirmed();
-    }));
+    return static_cast<std::size_t>(std::count_if(
+        entries_.begin(), entries_.end(), [](const auto& known) { return known.second.is_quarantined; }));
 }
 
 void request_quarantine::forget_old_entries()
 {
+    ended_processes_.forget(time_.now() - suspicion_lifetime);
     for (auto found = entries_.begin(); found != entries_.end();) {
         const auto current = found++;
-        const auto& [evidence, changed] = current->second;
+        const auto& known = current->second;
         core::duration lifetime = answer_lifetime;
-        if (!evidence.ends().empty())
-            lifetime = evidence.is_confirmed() ? quarantine_lifetime : suspicion_lifetime;
-        if (time_.now() - changed < lifetime)
+        if (!known.evidence.ends().empty())
+            lifetime = known.is_quarantined ? quarantine_lifetime : suspicion_lifetime;
+        if (time_.now() - known.changed < lifetime)
             continue;
-        if (suspicion_of(evidence))
-            notify(current->first, evidence, crash_suspicion::expired);
+        if (known.suspicion())
+            notify(current->first, known.evidence, crash_suspicion::expired);
         erase(current);
     }
 }
@@ -249,6 +294,7 @@
         if (on_server_end_)
             on_server_end_(confirmed);
     }
+    attribute_ends();
     forget_old_entries();
     return std::exchange(has_news_, false);
 }
--- a/source/steering/request_quarantine.h
+++ b/source/steering/request_quarantine.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "steering/crash_evidence.h"
+#include "steering/crash_attribution.h"
 #include "steering/server_end_monitor.h"
 
 #include <functional>
@@ -10,7 +10,7 @@
 
 /** What an instance believes of a request under which servers ended. */
 enum class crash_suspicion {
-    suspected,   ///< it ended a further server after the first one; it is not retried
+    suspected,   ///< a server ended under a run that began after an end; it is not retried
     quarantined, ///< it is refused
     answered,    ///< a server answered it: it is not at fault
     released,    ///< an operator released it
@@ -29,7 +29,8 @@
     Such a request comes again, at any instance and each time with a new id; its fingerprints stay the same.
     Each instance reports the servers that ended under its requests to all others, and the answers that clear
     a request. All instances add up the same reports. A request under which a third server has ended is
-    refused by all of them, as long as none has answered it. Without any ended server, no request is hashed.
+    refused by all of them, as long as none has answered it, unless what else ended and ran beside it speaks
+    for another cause (`crash_attribution`). Without any ended server, no request is hashed.
 
     `decision::crash_guard`, which does this for `knapweedd`, has the suspects run alone on a server, which
     needs an owner of the server's slots; nothing owns them here.
@@ -78,6 +79,9 @@
     struct entry {
         crash_evidence evidence;
         core::time_point changed;
+        bool is_quarantined = false;
+
+        [[nodiscard]] std::optional<crash_suspicion> suspicion() const;
     };
     using entries = std::unordered_map<core::fingerprint, entry>;
 
@@ -89,6 +93,8 @@
     bool add_ends(const crash_report& report);
     /** Removes the ends up to a time. @returns whether there were any. */
     bool clear(core::fingerprint request, core::time_point when, crash_suspicion cause);
+    /** Quarantines the requests that are the cause of ends, if the evidence against any has changed. */
+    void attribute_ends();
     void forget_old_entries();
     void notify(core::fingerprint request, const crash_evidence& evidence, crash_suspicion suspicion) const;
     /** @returns the evidence against a request, with the losses that are not confirmed yet. */
@@ -96,11 +102,13 @@
 
     const core::clock& time_;
     server_end_monitor server_ends_;
+    ended_processes ended_processes_;
     entries entries_;
     std::unordered_map<std::uint32_t, unsigned> targets_; ///< entries by the hash of their target
     change_hook on_change_;
     end_hook on_server_end_;
     bool has_news_ = false;
+    bool evidence_changed_ = false; ///< since the ends were attributed
 };
 
 } // namespace knapweed::steering
