--- a/tests/gateway/forwarding_fixture.h
+++ b/tests/gateway/forwarding_fixture.h
@@ -2,6 +2,7 @@
 
 #include "gateway/caller_listener.h"
 #include "gateway/forwarded_request.h"
+#include "memory_file.h"
 #include "net/upstream_fake.h"
 
 #include <boost/asio/io_context.hpp>
@@ -62,6 +63,8 @@
     [[nodiscard]] double failure_share_of(std::size_t index) const;
     /** @returns whether the gateway takes a server for cold; call it on the gateway's thread. */
     [[nodiscard]] bool is_cold(std::size_t index) const;
+    /** @returns the log lines since the last call. */
+    [[nodiscard]] std::string take_log();
     /** Runs @p action on the gateway's thread, which is blocked until it returns. */
     void run_on_gateway_thread(const std::function<void()>& action);
 
@@ -77,6 +80,7 @@
     gateway::http_dialect dialect_ = test_dialect();
     boost::asio::io_context io_{1};
     gateway::gateway_metrics metrics_;
+    memory_file log_file_;
     gateway::event_log log_;
     steering::steerer steerer_;
     net::connection_pool connections_;
--- a/tests/net/upstream_fake.cpp
+++ b/tests/net/upstream_fake.cpp
@@ -91,6 +91,7 @@
         acceptor_.accept(*socket, error);
         if (error)
             return;
+        ++accepted_;
         sockets_.push_back(socket);
         threads_.emplace_back([this, socket] { serve(*socket); });
     }
--- a/tests/net/upstream_fake.h
+++ b/tests/net/upstream_fake.h
@@ -36,6 +36,8 @@
 
     /** Waits until this server has closed @p number connections. @returns false after 20 s. */
     [[nodiscard]] bool wait_for_closed(std::size_t number) const;
+    /** Waits until all accepted connections are closed. @returns false after 20 s. */
+    [[nodiscard]] bool wait_for_all_closed() const { return wait_for_closed(accepted_); }
 
 private:
     void accept();
@@ -47,6 +49,7 @@
     boost::asio::io_context io_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::atomic<bool> stopped_ = false;
+    std::atomic<std::size_t> accepted_ = 0;
     std::atomic<std::size_t> closed_ = 0;
     mutable std::mutex mutex_;
     std::vector<std::string> requests_;
