Ignore status messages with an address that is none

Cause: found by the review, by reading. An instance's address for callers was taken from any datagram or registry row. One that isn't UTF-8 made every look-up answer of the region throw; another one would send callers nowhere. The log line of a request whose connection ended while it waited behind a download said that its caller had closed it. Change: such a message is malformed; the log line says what is known. Measured: the new case of parts_test.cpp fails without the check and passes with it.

--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -99,7 +99,7 @@
     }
     if (!co_await exchange_->wait_to_pass_on() || exchange_->detect_disconnect()) {
         context_.metrics.add(net::counter::callers_lost);
-        log_result("caller_left", 0, "the caller had closed its connection before the request was read", {});
+        log_result("caller_left", 0, "the connection ended before the request was passed on", {});
         co_return;
     }
     if (origin_ && !accept_relayed()) {
--- a/source/gateway/status_codec.cpp
+++ b/source/gateway/status_codec.cpp
@@ -1,6 +1,7 @@
 #include "gateway/status_codec.h"
 
 #include "instance_status.pb.h"
+#include "net/address.h"
 #include "replication/transfer_message.h"
 
 #include <algorithm>
@@ -62,6 +63,14 @@
     add_demand(*sum, status.region_sum->demand);
 }
 
+/** @returns whether a status message names its instance, and an address that callers can be sent to if it
+ * names one. */
+bool is_usable(const wire::instance_status& message)
+{
+    return !message.instance().empty() &&
+           (message.caller_address().empty() || net::parse_address(message.caller_address()));
+}
+
 steering::instance_status from_message(const wire::instance_status& message)
 {
     steering::instance_status status;
@@ -175,7 +184,7 @@
 std::optional<steering::instance_status> decode_status(std::string_view message)
 {
     wire::instance_status parsed;
-    if (!parsed.ParseFromArray(message.data(), static_cast<int>(message.size())) || parsed.instance().empty())
+    if (!parsed.ParseFromArray(message.data(), static_cast<int>(message.size())) || !is_usable(parsed))
         return std::nullopt;
     return from_message(parsed);
 }
@@ -278,7 +287,7 @@
     wire::peer_datagram parsed;
     if (!parsed.ParseFromArray(datagram.data(), static_cast<int>(datagram.size())))
         return {};
-    if (parsed.has_status() && !parsed.status().instance().empty())
+    if (parsed.has_status() && is_usable(parsed.status()))
         return from_message(parsed.status());
     if (parsed.has_load() && !parsed.load().instance().empty())
         return from_message(parsed.load());
--- a/source/gateway/status_codec.h
+++ b/source/gateway/status_codec.h
@@ -19,7 +19,8 @@
 /** @returns the serialised status message of an instance; see schema/instance_status.proto. */
 [[nodiscard]] std::string encode_status(const steering::instance_status& status);
 
-/** @returns the decoded status message, or nothing when it is malformed or lacks the instance. */
+/** @returns the decoded status message, or nothing when it is malformed, lacks the instance or names an
+    address that is none. */
 [[nodiscard]] std::optional<steering::instance_status> decode_status(std::string_view message);
 
 /** Decoded content of a datagram from another instance; `std::monostate` when it is invalid. */
--- a/tests/gateway/parts_test.cpp
+++ b/tests/gateway/parts_test.cpp
@@ -293,3 +293,19 @@
     REQUIRE(classify_connect_error(error(errc::connection_reset), false) == connect_failure::refused);
     REQUIRE(classify_connect_error(error(errc::host_unreachable), false) == connect_failure::other);
 }
+
+// Guards against look-ups that fail, or send callers nowhere, because of one instance's odd address.
+TEST_CASE("a status message with an address that is none is ignored")
+{
+    steering::instance_status status;
+    status.instance = core::instance_id{"i1"};
+    for (const auto* address : {"\xff\xfe:80", "host:80", "127.0.0.1", "127.0.0.1:65536", "[1]"}) {
+        status.caller_address = address;
+        INFO(address);
+        CHECK_FALSE(decode_status(encode_status(status)));
+        CHECK_FALSE(
+            std::holds_alternative<steering::instance_status>(decode_datagram(encode_datagram(status))));
+    }
+    status.caller_address = "127.0.0.1:80";
+    CHECK(decode_status(encode_status(status)));
+}
