Reject answers that are cut off by a reset or have a malformed head

Cause: a reset during a long upload is reported to the write, which consumes the error; the reader then sees an end of file, and a body without a length looked complete. The parser accepts each status of three digits and a length beside a coding other than chunked. Change: a connection remembers a failed write, and an answer that ends with its connection is then never complete; net/answer_head checks each head. A malformed head is an invalid answer, not a lost connection. knapweedctl uses the same check. Measured: knapweed_answers, real gateway, 4 requests for each answer: gave 200 with a part of the body (early_reset), 600 and 999 (odd_status), 200 (two_lengths); now 502 each. An early whole answer is still delivered. Blanks and control bytes in field names got 502 before, too: no fault shown there.

--- a/source/daemons/operator_client.cpp
+++ b/source/daemons/operator_client.cpp
@@ -1,5 +1,7 @@
 #include "daemons/operator_client.h"
 
+#include "net/answer_head.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -66,6 +68,9 @@
     reply.body_limit(reply_limit_bytes);
     if (!run_operation(context, [&](auto done) { http::async_read(stream, buffer, reply, std::move(done)); }))
         return {};
+    // Instances state the length of their answers; one that ends with the connection may be cut off.
+    if (net::check_answer_head(reply.get()) || reply.need_eof())
+        return {};
     return {true, std::move(reply.get().body())};
 }
 
--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -213,7 +213,7 @@
     result.place = upstream_.place();
     const bool has_head = result.outcome != attempt_outcome::connection_lost &&
                           result.outcome != attempt_outcome::timed_out &&
-                          result.outcome != attempt_outcome::not_connected;
+                          result.outcome != attempt_outcome::not_connected && !upstream_.answer_malformed();
     if (has_head)
         upstream_.extract_statements(result);
     if (result.outcome != attempt_outcome::answered && result.outcome != attempt_outcome::server_failed)
@@ -245,7 +245,9 @@
 
 attempt_outcome forwarded_request::outcome_without_answer() const
 {
-    return upstream_.timed_out() ? attempt_outcome::timed_out : attempt_outcome::connection_lost;
+    if (upstream_.timed_out())
+        return attempt_outcome::timed_out;
+    return upstream_.answer_malformed() ? attempt_outcome::answer_invalid : attempt_outcome::connection_lost;
 }
 
 asio::awaitable<attempt_outcome> forwarded_request::send_and_receive(const steering::backend_server& server)
--- a/source/gateway/upstream_exchange.cpp
+++ b/source/gateway/upstream_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/message_heads.h"
 #include "gateway/relay_fields.h"
+#include "net/answer_head.h"
 #include "net/time_limit.h"
 
 #include <array>
@@ -37,6 +38,7 @@
     buffered_whole_ = false;
     place_ = {};
     must_discard_connection_ = false;
+    answer_malformed_ = false;
     connection_ = connections_.acquire(address, limit, longest_idle, request_id_hash_);
     return connection_ != nullptr;
 }
@@ -67,8 +69,11 @@
     constexpr unsigned first_final_status = 200;
     int interim_answers = 0;
     while (interim_answers <= net::max_interim_answers && place_.skipped_answers <= max_stale_answers) {
-        if (co_await connection_->read_head(make_bodiless_rule()))
+        const auto error = co_await connection_->read_head(make_bodiless_rule());
+        if (error) {
+            answer_malformed_ = net::is_malformed_answer(error);
             co_return false;
+        }
         if (connection_->status() < first_final_status) {
             ++interim_answers;
         }
--- a/source/gateway/upstream_exchange.h
+++ b/source/gateway/upstream_exchange.h
@@ -32,8 +32,10 @@
         may answer early and close the connection. */
     net::asio::awaitable<bool> send(std::string_view head, const caller_request& request);
     /** Reads the head of the answer to this request and skips answers to earlier ones.
-        @returns false when the connection failed or too many answers were skipped. */
+        @returns false when the connection failed, the head is malformed or too many answers were skipped. */
     net::asio::awaitable<bool> read_head();
+    /** @returns whether the head could not be read because the bytes received are no head. */
+    [[nodiscard]] bool answer_malformed() const noexcept { return answer_malformed_; }
     /** Sets a function that is called when much of a body is buffered, with its bytes so far. It returns
        whether more is buffered. */
     void buffer_more_if(std::function<bool(std::size_t)> decide) { buffers_more_ = std::move(decide); }
@@ -84,6 +86,7 @@
     std::function<bool(std::size_t)> buffers_more_;
     std::string buffered_body_;
     bool buffered_whole_ = false;
+    bool answer_malformed_ = false;
     bool timed_out_ = false;
     steering::send_place place_;
     bool must_discard_connection_ = false; ///< it must not be reused for another request
--- a/source/net/client_connection.cpp
+++ b/source/net/client_connection.cpp
@@ -1,5 +1,6 @@
 #include "net/client_connection.h"
 
+#include "net/answer_head.h"
 #include "net/message_limits.h"
 
 #include <algorithm>
@@ -42,6 +43,9 @@
     tcp::socket socket;
     beast::flat_buffer buffer{answer_header_limit_bytes + max_unparsed_bytes};
     std::optional<http::response_parser<http::buffer_body>> parser;
+    /** The other side may have reset the connection; the failed write then has consumed that error, and a
+       read would see an orderly end. */
+    bool write_failed = false;
     std::uint64_t received_after_head = 0; ///< bytes of the current answer
     std::uint64_t body_bytes = 0;          ///< bytes of the body among them
 };
@@ -85,6 +89,7 @@
         message.content_length(request.body.size());
     http::request_serializer<http::span_body<const char>> serializer(message);
     auto [error, bytes] = co_await http::async_write(state_->socket, serializer, as_result);
+    state_->write_failed = state_->write_failed || error;
     co_return transfer_result{error, bytes};
 }
 
@@ -96,6 +101,7 @@
     const std::array<asio::const_buffer, 2> parts{asio::buffer(head.data(), head.size()),
                                                   asio::buffer(body.data(), body.size())};
     auto [error, bytes] = co_await asio::async_write(state_->socket, parts, as_result);
+    state_->write_failed = state_->write_failed || error;
     co_return transfer_result{error, bytes};
 }
 
@@ -142,7 +148,7 @@
     }
     auto [error, bytes] =
         co_await http::async_read_header(state_->socket, state_->buffer, *state_->parser, as_result);
-    co_return error;
+    co_return error ? error : check_answer_head(state_->parser->get());
 }
 
 asio::awaitable<error_code> client_connection::read_final_head()
@@ -191,7 +197,8 @@
 
 bool client_connection::complete() const
 {
-    return state_->parser && state_->parser->is_done();
+    return state_->parser && state_->parser->is_done() &&
+           !(state_->parser->need_eof() && state_->write_failed);
 }
 
 asio::awaitable<transfer_result> client_connection::read_some(std::span<char> buffer)
@@ -212,6 +219,8 @@
     }
     const auto read = buffer.size() - body.size;
     state_->body_bytes += read;
+    if (parser.is_done() && parser.need_eof() && state_->write_failed)
+        co_return transfer_result{asio::error::connection_reset, read};
     co_return transfer_result{{}, read};
 }
 
--- a/source/net/client_connection.h
+++ b/source/net/client_connection.h
@@ -80,7 +80,8 @@
         answer after an interim one. */
     void expect_next_answer();
 
-    /** Reads the head of the answer. A head that exceeds the size limit gives an error.
+    /** Reads the head of the answer. A head that exceeds the size limit or is malformed gives an error.
+        @see check_answer_head
         @param is_bodiless if set, decides whether the answer has no body. */
     asio::awaitable<error_code> read_head(bodiless_rule is_bodiless = {});
 
@@ -98,7 +99,8 @@
     /** @returns whether the answer is framed by a length or by chunks. An answer that ends with its
         connection can't be distinguished from a truncated one. */
     [[nodiscard]] bool delimited() const;
-    /** @returns whether the answer was read to its end. */
+    /** @returns whether the answer was read to its end. An answer that ends with its connection has no end if
+       the request could not be written whole. */
     [[nodiscard]] bool complete() const;
 
     /** Reads at least one byte of the body unless the answer is complete. Any error means that the body is
