Count all memory that callers occupy, and give up what stands still

Cause: the budget held bodies only. Heads that stay open, buffers of callers that were refused, and blocks that the allocator kept exceeded the memory of the machine; when all connections were taken, ordinary callers got none. Change: a claim covers head, body and the held part of the answer; standstill for 2 s gives memory up to others; connections are limited by descriptors and memory, and a new one takes the place of the one that stands still for longest; large freed blocks go back to the system. instance.max_descriptors is new; with the defaults the limits of connections stay at 2,500 and 500.

--- a/source/daemons/knapweed_gateway.cpp
+++ b/source/daemons/knapweed_gateway.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <malloc.h>
 
 namespace {
 
@@ -20,6 +21,15 @@
 Exit status: 0 after a graceful shutdown, 1 when an address can't be listened on, 2 for bad settings or arguments.
 )";
 
+/** Has large blocks returned to the system when they are freed. By default the allocator keeps blocks of up
+   to 32 MiB after a while, and the memory of bodies that were given up would stay with the process. */
+void return_freed_memory()
+{
+    constexpr int large_block_bytes = 16384;
+    (void)::mallopt(M_MMAP_THRESHOLD, large_block_bytes);
+    (void)::mallopt(M_TRIM_THRESHOLD, 8 * large_block_bytes);
+}
+
 int serve(const daemons::command_line& line)
 {
     const auto read = gateway::read_gateway_settings(line.settings_file);
@@ -33,6 +43,7 @@
     }
     // A write to a connection that the other side closed must return an error instead of ending the process.
     std::signal(SIGPIPE, SIG_IGN);
+    return_freed_memory();
     gateway::gateway instance(read.settings, line.settings_file, platform::make_dialect());
     if (const auto failure = instance.listen(); !failure.empty()) {
         std::fprintf(stderr, "knapweed-gateway: %s\n", failure.c_str());
--- a/source/gateway/body_budget.cpp
+++ b/source/gateway/body_budget.cpp
@@ -1,13 +1,16 @@
 #include "gateway/body_budget.h"
 
+#include <algorithm>
+#include <vector>
+
 namespace knapweed::gateway {
 
 namespace {
 
 constexpr std::uint64_t bodies_divisor = 2;   ///< of the memory, for all bodies
 constexpr std::uint64_t reserved_divisor = 8; ///< of that, for small bodies only
-/** First claim of a body in chunks. */
-constexpr std::uint64_t first_claim_bytes = 4096;
+/** A request of which nothing has arrived for this time may be given up when others need its memory. */
+constexpr core::milliseconds standstill{2000};
 /** A body may begin to arrive so late, because of the distance of its caller. */
 constexpr core::milliseconds slow_start{500};
 constexpr core::milliseconds revoke_interval{100};
@@ -26,8 +29,9 @@
         return false;
     const std::chrono::duration<double> time(elapsed);
     const std::chrono::duration<double> limit(share.time_limit);
+    const auto body_bytes = share.length.value_or(share.bytes - share.beside_body);
     return static_cast<double>(share.arrived) * limit.count() <
-           static_cast<double>(share.length.value_or(share.bytes)) * time.count();
+           static_cast<double>(body_bytes) * time.count();
 }
 
 } // namespace
@@ -49,13 +53,22 @@
 
 body_claim body_budget::claim(const announced_body& body)
 {
-    shares_.push_back({0, 0, body.length, body.time_limit, body.at});
-    body_claim claim(*this, std::prev(shares_.end()));
-    if (!grow(shares_.back(), body.length.value_or(first_claim_bytes), body.at))
+    auto claim = claim_head(body.time_limit, body.at);
+    if (!claim.begin_body(body.length, body.time_limit, body.at))
         claim.end();
     return claim;
 }
 
+body_claim body_budget::claim_head(core::duration time_limit, core::time_point now)
+{
+    body_share share;
+    share.time_limit = time_limit;
+    share.began = now;
+    share.progressed = now;
+    shares_.push_back(share);
+    return {*this, std::prev(shares_.end())};
+}
+
 bool body_budget::resize(body_share& share, std::uint64_t bytes)
 {
     const auto others = claimed_ - share.bytes;
@@ -75,19 +88,39 @@
     if (resize(share, bytes))
         return true;
     if (can_fit(bytes))
-        revoke_slow_bodies(now);
+        revoke_slow_bodies(bytes - std::min(bytes, share.bytes), now);
     return false;
 }
 
-/** The memory of a revoked body is free when its reading has ended, so the claim in need isn't tried again.
+bool body_budget::grow_by(body_share& share, std::uint64_t bytes, core::time_point now)
+{
+    // A stated length may be near the greatest number.
+    return bytes <= limits_.all_bodies && grow(share, share.bytes + bytes, now);
+}
+
+/** The memory of a revoked request is free when its reading has ended, so the claim in need isn't tried
+ * again.
  */
-void body_budget::revoke_slow_bodies(core::time_point now)
+void body_budget::revoke_slow_bodies(std::uint64_t needed, core::time_point now)
 {
     if (revoked_at_ && now - *revoked_at_ < revoke_interval)
         return;
     revoked_at_ = now;
-    for (auto& share : shares_)
-        share.revoked = share.revoked || is_slow(share, now);
+    std::vector<body_share*> candidates;
+    for (auto& share : shares_) {
+        const bool stands_still = !share.whole && now - share.progressed >= standstill;
+        if (!share.revoked && share.bytes > 0 && (stands_still || is_slow(share, now)))
+            candidates.push_back(&share);
+    }
+    std::sort(candidates.begin(), candidates.end(),
+              [](const auto* a, const auto* b) { return a->progressed < b->progressed; });
+    std::uint64_t freed = 0;
+    for (auto* share : candidates) {
+        if (freed >= needed)
+            break;
+        share->revoked = true;
+        freed += share->bytes;
+    }
 }
 
 void body_budget::remove(std::list<body_share>::iterator share)
--- a/source/gateway/body_budget.h
+++ b/source/gateway/body_budget.h
@@ -20,7 +20,7 @@
    machine, in bytes. */
 [[nodiscard]] body_limits make_body_limits(std::uint64_t memory);
 
-/** What is known of a body before it is read. */
+/** What is known of a request before it is read. */
 struct announced_body {
     std::optional<std::uint64_t> length; ///< none of a body in chunks
     core::duration time_limit{0};        ///< for reading it
@@ -44,6 +44,8 @@
 
     /** @returns whether a body of this length fits when nothing else is in progress. */
     [[nodiscard]] bool can_fit(std::uint64_t bytes) const;
+    /** Claims memory for a request whose head is to be read. @param time_limit for reading the head. */
+    [[nodiscard]] body_claim claim_head(core::duration time_limit, core::time_point now);
     /** Claims memory for a body. @returns a claim that holds nothing when it doesn't fit. The budget must
      * outlive it.
      */
@@ -54,11 +56,18 @@
 private:
     friend class body_claim;
 
+    /** First claim of a body in chunks. */
+    static constexpr std::uint64_t first_claim_bytes = 4096;
+
     /** Changes the bytes of a body. @returns false, and changes nothing, when they don't fit. */
     [[nodiscard]] bool resize(body_share& share, std::uint64_t bytes);
     /** @see resize. Revokes slow bodies when the bytes don't fit. */
     [[nodiscard]] bool grow(body_share& share, std::uint64_t bytes, core::time_point now);
-    void revoke_slow_bodies(core::time_point now);
+    /** As above, by a number of bytes, which may be near the greatest one. */
+    [[nodiscard]] bool grow_by(body_share& share, std::uint64_t bytes, core::time_point now);
+    /** Revokes those that stand still or are too slow, the one that stands still for longest first, until @p
+       needed bytes will be free. */
+    void revoke_slow_bodies(std::uint64_t needed, core::time_point now);
     void remove(std::list<body_share>::iterator share);
 
     body_limits limits_;
--- a/source/gateway/body_claim.cpp
+++ b/source/gateway/body_claim.cpp
@@ -45,11 +45,47 @@
 {
     if (!holds() || share_->revoked)
         return false;
+    if (arrived > share_->arrived)
+        share_->progressed = now;
     share_->arrived = arrived;
     const auto needed = arrived + ahead;
     // The memory of a body in chunks doubles as it grows; while it is copied, the old and the new one are in
     // use.
-    return share_->length || needed <= share_->bytes || budget_->grow(*share_, std::bit_ceil(needed), now);
+    return share_->length || share_->beside_body + needed <= share_->bytes ||
+           budget_->grow(*share_, share_->beside_body + std::bit_ceil(needed), now);
+}
+
+bool body_claim::cover(std::uint64_t bytes, core::time_point now)
+{
+    if (!holds() || share_->revoked)
+        return false;
+    const auto body = share_->bytes - share_->beside_body;
+    if (bytes != share_->beside_body && !budget_->grow(*share_, body + bytes, now))
+        return false;
+    if (bytes > share_->beside_body)
+        share_->progressed = now;
+    share_->beside_body = bytes;
+    return true;
+}
+
+bool body_claim::begin_body(std::optional<std::uint64_t> length, core::duration time_limit,
+                            core::time_point now)
+{
+    if (!holds() || share_->revoked)
+        return false;
+    share_->length = length;
+    share_->time_limit = time_limit;
+    share_->began = now;
+    share_->progressed = now;
+    return budget_->grow_by(*share_, length.value_or(body_budget::first_claim_bytes), now);
+}
+
+void body_claim::drop_body()
+{
+    if (!holds())
+        return;
+    share_->length.reset();
+    (void)budget_->resize(*share_, share_->beside_body);
 }
 
 void body_claim::body_is_whole()
--- a/source/gateway/body_claim.h
+++ b/source/gateway/body_claim.h
@@ -9,14 +9,17 @@
 
 class body_budget;
 
-/** The part of a budget that one body occupies. */
+/** The part of a budget that one request occupies: with its head, its body, and the part of its answer that
+   the caller has not taken yet. */
 struct body_share {
-    std::uint64_t bytes = 0;             ///< claimed
+    std::uint64_t bytes = 0;             ///< claimed, with those beside the body
+    std::uint64_t beside_body = 0;       ///< claimed for the head
     std::uint64_t arrived = 0;           ///< of the body
     std::optional<std::uint64_t> length; ///< as stated by the caller
     core::duration time_limit{0};        ///< for reading the body
     core::time_point began;              ///< when reading began
-    bool whole = false;                  ///< the body has been read
+    core::time_point progressed;         ///< when something arrived last
+    bool whole = false;                  ///< the request has been read
     bool revoked = false;
 };
 
@@ -39,6 +42,16 @@
     /** Claims more for a body that is being read. @param arrived bytes of the body so far. @param ahead bytes
        that the next read may add at most. @returns false when they don't fit, or the claim is revoked. */
     [[nodiscard]] bool grow(std::uint64_t arrived, std::uint64_t ahead, core::time_point now);
+    /** Changes what is claimed beside the body, while a head is read or an answer is held.
+        @returns false, and changes nothing, when it doesn't fit or the claim is revoked. */
+    [[nodiscard]] bool cover(std::uint64_t bytes, core::time_point now);
+    /** Claims the memory of the body that follows the head. @param length as stated; none of a body in
+       chunks.
+        @param time_limit for reading it. @returns false when it doesn't fit. */
+    [[nodiscard]] bool begin_body(std::optional<std::uint64_t> length, core::duration time_limit,
+                                  core::time_point now);
+    /** Gives back the memory of the body, and keeps what is claimed beside it. */
+    void drop_body();
     /** Records that the body has been read: it keeps its memory until the claim ends. */
     void body_is_whole();
     /** Gives the memory back. */
--- a/source/gateway/caller_listener.cpp
+++ b/source/gateway/caller_listener.cpp
@@ -13,6 +13,8 @@
 
 /** Pause after a failed accept: without free file descriptors the next attempt would fail again at once. */
 constexpr core::milliseconds accept_pause{20};
+/** A connection that has been in use or opened more recently isn't closed for another one. */
+constexpr core::duration min_standstill = core::milliseconds(500);
 
 } // namespace
 
@@ -54,7 +56,7 @@
 
 void caller_listener::start_session(net::tcp::socket socket)
 {
-    if (context_->sessions >= max_sessions_) {
+    if (context_->sessions >= max_sessions_ && !close_unused_session()) {
         context_->counters.add(net::counter::connections_refused);
         return; // closes the socket
     }
@@ -67,6 +69,23 @@
     });
 }
 
+bool caller_listener::close_unused_session()
+{
+    std::shared_ptr<caller_session> longest;
+    auto longest_time = min_standstill;
+    for (const auto& weak_session : sessions_) {
+        const auto session = weak_session.lock();
+        const auto time = session ? session->standstill() : std::nullopt;
+        if (!time || *time < longest_time)
+            continue;
+        longest_time = *time;
+        longest = session;
+    }
+    if (longest)
+        longest->close();
+    return longest != nullptr;
+}
+
 /** Accepts the connections that the system has established but that no accept has returned yet. Closing the
    listening socket would reset them, with the requests that their callers have already sent. */
 void caller_listener::accept_established()
--- a/source/gateway/caller_listener.h
+++ b/source/gateway/caller_listener.h
@@ -7,7 +7,8 @@
 /** Accepts connections at one address and runs a `caller_session` for each. */
 class caller_listener {
 public:
-    /** @param max_sessions greatest number of open sessions; further connections are closed at once. */
+    /** @param max_sessions greatest number of open sessions. A further connection takes the place of one that
+       stands still; it is closed at once if there is none. */
     caller_listener(net::asio::any_io_executor executor, std::shared_ptr<session_context> context,
                     std::size_t max_sessions);
 
@@ -29,6 +30,9 @@
     net::asio::awaitable<void> accept();
     void start_session(net::tcp::socket socket);
     void accept_established();
+    /** Closes the connection that has stood still for longest, to make room for another one. @returns false
+       when all others are in use. */
+    [[nodiscard]] bool close_unused_session();
 
     net::asio::any_io_executor executor_;
     std::shared_ptr<session_context> context_;
--- a/source/gateway/caller_session.cpp
+++ b/source/gateway/caller_session.cpp
@@ -1,6 +1,6 @@
 #include "gateway/caller_session.h"
 
-#include "gateway/body_reading.h"
+#include "gateway/head_reading.h"
 #include "net/message_limits.h"
 
 #include <algorithm>
@@ -163,15 +163,26 @@
     request_parser parser;
     parser.header_limit(limits.header_bytes);
     parser.body_limit(limits.body_bytes);
-    auto [error, head_bytes] = co_await http::async_read_header(socket, buffer, parser, as_result);
+    claim_ = context_->bodies.claim_head(limits.header_timeout, received);
+    auto error = co_await receive_head(socket, buffer, limits.header_bytes, claim_, context_->time);
+    if (error == no_body_space()) {
+        // Nothing is known of the request, so it can't be answered. One that was not read has not run.
+        context_->counters.add(net::counter::connections_refused);
+        close();
+        co_return nullptr;
+    }
+    if (!error) {
+        auto [head_error, head_bytes] = co_await http::async_read_header(socket, buffer, parser, as_result);
+        error = head_error;
+        if (!error && !claim_.cover(head_memory(head_bytes), context_->time.now()))
+            error = no_body_space();
+    }
     const auto& message = parser.get();
     if (!error && !is_well_framed(message))
         error = make_error_code(http::error::bad_field);
-    if (!error && !parser.is_done()) {
-        claim_ = context_->bodies.claim({stated_length(parser), limits.idle_timeout, context_->time.now()});
-        if (!claim_.holds())
-            error = no_body_space();
-    }
+    if (!error && !parser.is_done() &&
+        !claim_.begin_body(stated_length(parser), limits.idle_timeout, context_->time.now()))
+        error = no_body_space();
     if (!error && beast::iequals(message[http::field::expect], "100-continue") && exchanges_.empty()) {
         if (!co_await write("HTTP/1.1 100 Continue\r\n\r\n", {}))
             co_return nullptr;
@@ -180,6 +191,7 @@
     if (!error && !parser.is_done())
         error = co_await read_body(socket, buffer, parser, claim_, context_->time);
     auto claim = std::move(claim_);
+    claim.body_is_whole();
     phase_ = read_phase::idle;
     phase_began_ = context_->time.now();
     if (!lifetime_.takes_requests())
@@ -244,7 +256,7 @@
 
 asio::awaitable<void> caller_session::discard_until_closed()
 {
-    std::array<char, 16384> discarded{};
+    std::array<char, 1024> discarded{}; // small: many callers that were refused can go on sending
     phase_ = read_phase::discarding;
     phase_began_ = context_->time.now();
     while (!closed_) {
@@ -365,6 +377,13 @@
     stream_->socket.cancel(ignored);
 }
 
+std::optional<core::duration> caller_session::standstill() const
+{
+    if (closed_ || !exchanges_.empty() || write_began_)
+        return std::nullopt;
+    return context_->time.now() - phase_began_;
+}
+
 void caller_session::detect_disconnect()
 {
     if (closed_)
--- a/source/gateway/caller_session.h
+++ b/source/gateway/caller_session.h
@@ -47,6 +47,9 @@
     void check_timeouts();
     /** Ends the connection if no request is being read or answered and no byte of one has arrived. */
     void close_if_idle();
+    /** @returns how long nothing has happened on the connection for which its caller waits: it is idle, or a
+       request stays incomplete. Nothing while a request is answered. */
+    [[nodiscard]] std::optional<core::duration> standstill() const;
     /** Closes the connection if its caller has closed it. */
     void detect_disconnect();
     /** Closes the connection at once and marks all open exchanges as disconnected. */
--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -1,6 +1,7 @@
 #include "gateway/forwarded_request.h"
 
 #include "gateway/connect_limit.h"
+#include "gateway/head_reading.h"
 #include "gateway/message_heads.h"
 #include "gateway/request_log.h"
 
@@ -270,6 +271,7 @@
 asio::awaitable<void> forwarded_request::deliver(steering::backend_server* server)
 {
     delivering_ = true;
+    hold_only_answer();
     const auto head = make_answer_head(upstream_.connection(), exchange_->request().method);
     bool written = false;
     if (upstream_.buffered_whole()) {
@@ -284,6 +286,17 @@
     log_result(written ? "answered" : "answer_broke_off", head.status, "", {});
 }
 
+/** Gives back the memory of the request's body: a caller may take the answer slowly. */
+void forwarded_request::hold_only_answer()
+{
+    auto& request = exchange_->request();
+    plan_.identity.body = {};
+    std::string().swap(request.body);
+    request.claim.drop_body();
+    // What was read of the answer is counted even if it doesn't fit; others are given up then.
+    (void)request.claim.cover(head_memory(upstream_.buffered_body().size()), context_.time.now());
+}
+
 asio::awaitable<bool> forwarded_request::stream_answer(const answer_head& head,
                                                        steering::backend_server* server)
 {
--- a/source/gateway/forwarded_request.h
+++ b/source/gateway/forwarded_request.h
@@ -46,6 +46,9 @@
     /** Counts a relayed request. @returns false when the limit of those in progress is reached. */
     [[nodiscard]] bool accept_relayed();
     [[nodiscard]] steering::request_facts extract_request_facts() const;
+    void hold_only_answer();
+    /** @returns what servers are told of the account of the request. */
+    [[nodiscard]] account_statement stated_account() const;
     /** Carries out a step that sends the request. @returns the next step, or nothing when the caller has
        disconnected. */
     net::asio::awaitable<std::optional<steering::next_step>> send(steering::send_step step);
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -20,12 +20,30 @@
 
 constexpr core::milliseconds tick_interval{100};
 constexpr std::uint64_t ticks_per_status = 5; ///< a status message every 500 ms
+/** With the way by two hubs, an account that exceeds its quota is noticed within about half a second. */
+constexpr std::uint64_t ticks_per_account_loads = 2;
 constexpr std::uint64_t ticks_per_second = 10;
-/** A process may have a few thousand file descriptors. Those that callers do not use are for connections to
-   servers and to the platform, and for files. */
-constexpr std::size_t max_caller_sessions = 2500;
-/** Limit of each of the listeners for relayed requests, readiness checks, look-ups and metrics. */
-constexpr std::size_t max_auxiliary_sessions = 500;
+/** Part of the file descriptors that callers' connections may take. The others are for connections to servers
+   and to the platform, and for files. */
+constexpr double caller_descriptors = 0.61;
+/** The same of each of the listeners for relayed requests, readiness checks, look-ups and metrics. */
+constexpr double auxiliary_descriptors = 0.122;
+/** Memory of an open connection without a request, and the part of the memory that all of them may take. */
+constexpr std::uint64_t session_bytes = 12288;
+constexpr std::uint64_t session_memory_divisor = 4;
+
+std::size_t max_caller_sessions(const gateway_settings& settings)
+{
+    const auto by_descriptors = static_cast<std::size_t>(settings.max_descriptors * caller_descriptors);
+    return std::min<std::size_t>(by_descriptors,
+                                 settings.memory_bytes / session_memory_divisor / session_bytes);
+}
+
+std::size_t max_auxiliary_sessions(const gateway_settings& settings)
+{
+    return static_cast<std::size_t>(settings.max_descriptors * auxiliary_descriptors);
+}
+
 /** Limit of the fields that an instance adds to the head of a request that it relays. */
 constexpr std::size_t relay_header_bytes = 512;
 /** Idle connections to servers are closed after this time unless the server specifies another. */
@@ -69,21 +87,21 @@
       pages_(settings_, dialect_, steerer_, metrics_, log_, [this] { return ready(); }),
       callers_(io_.get_executor(),
                make_context([this](auto exchange) { return forward(std::move(exchange)); }),
-               max_caller_sessions),
+               max_caller_sessions(settings_)),
       relayed_(io_.get_executor(),
                make_context([this](auto exchange) { return forward_relayed(std::move(exchange)); },
                             relay_header_bytes),
-               max_auxiliary_sessions),
+               max_auxiliary_sessions(settings_)),
       readiness_(io_.get_executor(),
                  make_context([this](auto exchange) { return pages_.answer_readiness(std::move(exchange)); }),
-                 max_auxiliary_sessions),
+                 max_auxiliary_sessions(settings_)),
       lookups_(io_.get_executor(),
                make_context([this](auto exchange) { return pages_.answer_lookup(std::move(exchange)); }),
-               max_auxiliary_sessions),
+               max_auxiliary_sessions(settings_)),
       metrics_listener_(io_.get_executor(), make_context([this](auto exchange) {
                             return pages_.answer_metrics(std::move(exchange));
                         }),
-                        max_auxiliary_sessions),
+                        max_auxiliary_sessions(settings_)),
       incarnation_(make_incarnation()),
       messenger_(
           io_.get_executor(), {settings_.instance, settings_.region, incarnation_}, steerer_,
--- a/source/gateway/gateway_settings.cpp
+++ b/source/gateway/gateway_settings.cpp
@@ -138,6 +138,8 @@
     settings.capacity = reader.number("instance.cpu_share", 1, 0.001, 1000) *
                         reader.number("instance.core_speed", 1, 0.001, 1000);
     settings.memory_bytes = reader.megabytes("instance.memory_mb", settings.memory_bytes, 16, 1000000);
+    settings.max_descriptors = static_cast<unsigned>(
+        reader.number("instance.max_descriptors", settings.max_descriptors, 64, 10000000));
     settings.largest_shift = reader.number("steering.largest_shift", settings.largest_shift, 0.001, 1);
     settings.cold_multiplier = reader.number("steering.cold_multiplier", settings.cold_multiplier, 0.1, 1000);
     settings.cold_slack = reader.number("steering.cold_slack", settings.cold_slack, 0, 100000);
--- a/source/gateway/gateway_settings.h
+++ b/source/gateway/gateway_settings.h
@@ -24,6 +24,7 @@
     core::milliseconds lookup_ttl{4000};    ///< time for which callers may cache an answer to a look-up
     double capacity = 1;                    ///< cores that the process may use, in cores of normal speed
     std::uint64_t memory_bytes = 160000000; ///< of the machine; half of it is for bodies of requests
+    unsigned max_descriptors = 4100;        ///< that the process may have open
     double largest_shift = 0.15;            ///< share of a region's requests that may change region in 2 s
     /** In any second, all instances together may send a cold (recently started) server at most its service's
         cold rate (requests per second) times `cold_multiplier`, plus `cold_slack` requests. */
--- a/tests/platform/soak/gateway_process.h
+++ b/tests/platform/soak/gateway_process.h
@@ -25,6 +25,7 @@
     /** Path of an earlier build of the program, which every second process of the gateway runs, from the
      * first on; empty for none. */
     std::string previous_program;
+    unsigned memory_mb = 0; ///< of the machine, 0 for the default of the settings
 };
 
 /** The real gateway as a process of its own, controlled by signals. */
@@ -57,6 +58,8 @@
     [[nodiscard]] std::string check();
     /** @returns the greatest resident memory so far, in kilobytes; 0 when it can't be read. */
     [[nodiscard]] std::size_t peak_memory_kb() const;
+    /** @returns the number of open descriptors; 0 when it can't be read. */
+    [[nodiscard]] std::size_t open_descriptors() const;
 
 private:
     void write_settings() const;
--- a/tests/platform/soak/store_fleet.cpp
+++ b/tests/platform/soak/store_fleet.cpp
@@ -103,6 +103,7 @@
         gateway_place place{"gateway-" + std::to_string(i), in_a ? "a" : "b", in_a ? "east" : "west",
                             static_cast<std::uint16_t>(gateway_ports_->first() + i * ports_per_gateway),
                             text_of(store_links_.back()->address())};
+        place.memory_mb = options_.memory_mb;
         if (!in_a)
             place.previous_program = options_.previous_program;
         gateways_.push_back(
--- a/tests/platform/soak/store_fleet.h
+++ b/tests/platform/soak/store_fleet.h
@@ -21,6 +21,7 @@
     std::uint64_t seed = 1;
     int gateways = 4;
     std::uint64_t longest_body = 1U << 20U; ///< by the configuration, in bytes
+    unsigned memory_mb = 0;                 ///< of each gateway's machine, 0 for the default of the settings
 };
 
 /** Real gateways that share one store, each behind a link of its own, with backend servers behind proxies, in
