--- a/source/steering/occupancy_estimate.h
+++ b/source/steering/occupancy_estimate.h
@@ -11,6 +11,9 @@
     unsigned running = 0; ///< requests in slots
     unsigned waiting = 0; ///< requests in the queue
     unsigned slots = 0;   ///< requests that can run at the same time; 0 when not reported
+    /** How long work takes on the server's machine at the moment of the report, relative to its usual time.
+        Other programs on the machine change it several times a second. Nothing when not reported. */
+    std::optional<double> relative_run_time{};
 };
 
 /** Estimates how many requests a backend server holds, of this instance and of all others.
