Authenticate callers by API keys and keep quotas of accounts over all instances

Change: source/accounts finds the account of a key and simulates the common token bucket of each quota; instances tell each other the loads of accounts in a new datagram, by way of the hubs beyond 31 instances. Servers get the account's name and never the key; 401, 429; regions of route and account both bind; a configuration with bad accounts is rejected as a whole, without a key in its error. The test of refusals' statuses requires the exact status of each reason now.

--- a/source/core/identifiers.h
+++ b/source/core/identifiers.h
@@ -33,6 +33,7 @@
 using service_id = identifier<struct service_tag>;
 using server_id = identifier<struct server_tag>;
 using caller_id = identifier<struct caller_tag>;
+using account_id = identifier<struct account_tag>;
 
 /** A strongly typed number: numbers with different tags do not convert to each other. */
 template <typename Tag>
--- a/source/core/reasons.h
+++ b/source/core/reasons.h
@@ -35,12 +35,14 @@
     no_configuration,
     no_free_slot,
     configuration_outdated,
-    no_body_space
+    no_body_space,
+    unknown_api_key,
+    quota_exceeded
 };
 
 template <>
 struct names_of<refusal_reason> {
-    static constexpr std::array<std::string_view, 30> table{"malformed_request",
+    static constexpr std::array<std::string_view, 32> table{"malformed_request",
                                                             "unknown_service",
                                                             "unknown_path",
                                                             "body_too_large",
@@ -69,7 +71,9 @@
                                                             "no_configuration",
                                                             "no_free_slot",
                                                             "configuration_outdated",
-                                                            "no_body_space"};
+                                                            "no_body_space",
+                                                            "unknown_api_key",
+                                                            "quota_exceeded"};
 };
 
 /** Why the outcome of a request is unknown: it may have been run, at most once. */
--- a/source/gateway/answer_rules.cpp
+++ b/source/gateway/answer_rules.cpp
@@ -11,14 +11,16 @@
 
 constexpr unsigned misdirected = 421;
 constexpr unsigned first_server_error = 500;
+constexpr unsigned unauthorised = 401;
 constexpr unsigned not_found = 404;
+constexpr unsigned too_many_requests = 429;
 constexpr unsigned bad_gateway = 502;
 constexpr unsigned unavailable = 503;
 constexpr unsigned gateway_timeout = 504;
 
 /** Statuses with which an instance answers a request that was not run and will not be. */
-constexpr std::array<unsigned, 8> refusal_statuses{400,         not_found, 408, 413,
-                                                   misdirected, 429,       431, unavailable};
+constexpr std::array<unsigned, 9> refusal_statuses{400,         unauthorised,      not_found, 408,        413,
+                                                   misdirected, too_many_requests, 431,       unavailable};
 
 constexpr std::array<std::string_view, 9> hop_by_hop_fields{
     "connection", "keep-alive",        "proxy-connection", "te",    "trailer",
@@ -61,7 +63,16 @@
 
 unsigned status_of(core::refusal_reason reason)
 {
-    return reason == core::refusal_reason::unknown_path ? not_found : unavailable;
+    switch (reason) {
+    case core::refusal_reason::unknown_path:
+        return not_found;
+    case core::refusal_reason::unknown_api_key:
+        return unauthorised;
+    case core::refusal_reason::quota_exceeded:
+        return too_many_requests;
+    default:
+        return unavailable;
+    }
 }
 
 unsigned status_of(core::unknown_reason reason)
--- a/source/gateway/answer_rules.h
+++ b/source/gateway/answer_rules.h
@@ -34,7 +34,8 @@
    generated, with a status that it uses for requests that were not run, is a refusal. */
 [[nodiscard]] steering::relay_outcome classify_relayed_answer(const answer_facts& answer);
 
-/** @returns the HTTP status of a refusal: 503 or 404, which guarantee that the request was not run. */
+/** @returns the HTTP status of a refusal: 503, 429, 404 or 401, which guarantee that the request was not run.
+ */
 [[nodiscard]] unsigned status_of(core::refusal_reason reason);
 
 /** @returns the HTTP status for a request whose outcome is unknown. */
--- a/source/gateway/caller_exchange.cpp
+++ b/source/gateway/caller_exchange.cpp
@@ -56,6 +56,12 @@
     return {};
 }
 
+std::size_t caller_request::count(std::string_view name) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        fields.begin(), fields.end(), [name](const auto& field) { return is_same_field(field.name, name); }));
+}
+
 std::string_view caller_request::cookie(std::string_view name) const
 {
     for (const auto& header : fields) {
--- a/source/gateway/caller_exchange.h
+++ b/source/gateway/caller_exchange.h
@@ -39,6 +39,8 @@
     [[nodiscard]] std::string_view query(std::string_view name) const;
     /** @returns the value of the first field with this name, empty when absent. */
     [[nodiscard]] std::string_view field(std::string_view name) const;
+    /** @returns the number of fields with this name. */
+    [[nodiscard]] std::size_t count(std::string_view name) const;
     /** @returns the value of a cookie, empty when absent. */
     [[nodiscard]] std::string_view cookie(std::string_view name) const;
 };
--- a/source/gateway/forwarded_request.cpp
+++ b/source/gateway/forwarded_request.cpp
@@ -82,9 +82,21 @@
     if (origin_)
         facts.relayed_sends = origin_->max_sends;
     facts.answers_due = context_.shutdown.answers_due();
+    // Of several keys none is taken, because a server or another instance could take another one of them.
+    if (request.count(context_.dialect.api_key_field) == 1)
+        facts.api_key = request.field(context_.dialect.api_key_field);
     return facts;
 }
 
+account_statement forwarded_request::stated_account() const
+{
+    account_statement statement;
+    statement.replaces_fields = plan_.policy->accounts.has_value();
+    if (plan_.account != nullptr)
+        statement.account = plan_.account->id.str();
+    return statement;
+}
+
 asio::awaitable<void> forwarded_request::run()
 {
     const auto self = shared_from_this();
@@ -255,7 +267,8 @@
 {
     const auto& request = exchange_->request();
     const auto time_left = plan_.answer_by - context_.time.now();
-    const auto head = make_request_head(request, context_.dialect, time_left, server.record().id);
+    const auto head =
+        make_request_head(request, context_.dialect, time_left, server.record().id, stated_account());
     if (!co_await upstream_.send(head, request))
         co_return upstream_.timed_out() ? attempt_outcome::timed_out : attempt_outcome::not_connected;
     if (!co_await upstream_.read_head())
--- a/source/gateway/forwarded_request.h
+++ b/source/gateway/forwarded_request.h
@@ -3,6 +3,7 @@
 #include "gateway/event_log.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/graceful_shutdown.h"
+#include "gateway/message_heads.h"
 #include "gateway/relay_origin.h"
 #include "gateway/relay_sender.h"
 #include "steering/steerer.h"
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -272,6 +272,8 @@
         messenger_.send_limit_reports();
     if (steerer_.notices().take_news() || status_due)
         messenger_.send_leaving_reports();
+    if (ticks_ % ticks_per_account_loads == 0)
+        messenger_.send_account_loads();
     if (ticks_ % ticks_per_second == 0) {
         connections_.close_idle();
         check_settings_file();
--- a/source/gateway/gateway_settings.cpp
+++ b/source/gateway/gateway_settings.cpp
@@ -145,6 +145,10 @@
     settings.cold_slack = reader.number("steering.cold_slack", settings.cold_slack, 0, 100000);
     settings.retry_ratio = reader.number("steering.retry_ratio", settings.retry_ratio, 0, 10);
     settings.retry_extra = reader.number("steering.retry_extra", settings.retry_extra, 0, 1000000);
+    settings.quota_margin.excess =
+        reader.number("steering.quota_excess", settings.quota_margin.excess, 0, 10);
+    settings.quota_margin.slack =
+        reader.number("steering.quota_slack", settings.quota_margin.slack, 0, 100000);
     settings.log_lines_per_second = static_cast<unsigned>(
         reader.number("log.lines_per_second", settings.log_lines_per_second, 1, 100000));
     settings.released_requests = reader.fingerprints("quarantine.released");
@@ -173,6 +177,7 @@
     options.cold_slack = settings.cold_slack;
     options.retry_ratio = settings.retry_ratio;
     options.retry_extra = settings.retry_extra;
+    options.quota_margin = settings.quota_margin;
     options.seed = seed;
     return options;
 }
--- a/source/gateway/gateway_settings.h
+++ b/source/gateway/gateway_settings.h
@@ -34,6 +34,9 @@
         requests more. */
     double retry_ratio = 0.2;
     double retry_extra = 60;
+    /** In any window, all instances together may run this part of what an account's quota allows, and this
+       many requests, beyond it. */
+    accounts::quota_margin quota_margin{0.1, 20};
     unsigned log_lines_per_second = 400; ///< further lines are dropped and counted
     /** Fingerprints of requests that an operator releases from quarantine. */
     std::vector<core::fingerprint> released_requests;
--- a/source/gateway/http_dialect.h
+++ b/source/gateway/http_dialect.h
@@ -22,6 +22,8 @@
     std::string load_field;                ///< header: load of the server, decoded by `parse_load`
     std::string request_limit_field;       ///< header: limit of the server, decoded by `parse_request_limit`
     std::string remaining_cold_time_field; ///< header: milliseconds for which the server stays cold
+    std::string api_key_field;             ///< header: key of the caller's account; never passed to a server
+    std::string account_field;             ///< header: name of the caller's account, for the server
     std::string leaving_field;             ///< header: whether the server leaves, decoded by `parse_leaving`
     /** Decodes the value of the load field; returns nothing when it is malformed. */
     std::function<std::optional<steering::load_report>(std::string_view)> parse_load;
--- a/source/gateway/message_heads.cpp
+++ b/source/gateway/message_heads.cpp
@@ -81,9 +81,15 @@
 }
 
 std::string make_request_head(const caller_request& request, const http_dialect& dialect,
-                              core::duration time_left, const core::server_id& target_server)
+                              core::duration time_left, const core::server_id& target_server,
+                              const account_statement& account)
 {
-    auto head = begin_request_head(request, dialect, time_left, [](std::string_view) { return false; });
+    auto head = begin_request_head(request, dialect, time_left, [&](std::string_view name) {
+        return account.replaces_fields &&
+               (is_same_field(name, dialect.api_key_field) || is_same_field(name, dialect.account_field));
+    });
+    if (!account.account.empty())
+        append_field(head, dialect.account_field, account.account);
     append_field(head, dialect.expected_server_field, target_server.str());
     end_request_head(head, request);
     return head;
--- a/source/gateway/message_heads.h
+++ b/source/gateway/message_heads.h
@@ -8,12 +8,20 @@
 /** Appends a header line to @p out. */
 void append_field(std::string& out, std::string_view name, std::string_view value);
 
+/** What a server is told of the client account of a request. */
+struct account_statement {
+    /** The configuration has accounts: what the caller stated of its key and account is left out. */
+    bool replaces_fields = false;
+    std::string_view account; ///< empty for none
+};
+
 /** @returns the head of a forwarded request: the caller's head without hop-by-hop fields, with the
     remaining time limit and the id of the expected server.
     @param time_left until the answer must arrive. @param target_server the only server that may run the
    request. */
 [[nodiscard]] std::string make_request_head(const caller_request& request, const http_dialect& dialect,
-                                            core::duration time_left, const core::server_id& target_server);
+                                            core::duration time_left, const core::server_id& target_server,
+                                            const account_statement& account = {});
 
 /** @returns the head of a request that is relayed to another instance: the caller's head without hop-by-hop
     fields and without the id of a server, with the remaining time limit and the fields of `relay_fields.h`.
--- a/source/gateway/peer_messenger.cpp
+++ b/source/gateway/peer_messenger.cpp
@@ -48,6 +48,19 @@
     send_reports(steerer_.notices().reports(fanout.is_hub()), fanout.status_receivers());
 }
 
+void peer_messenger::send_account_loads()
+{
+    if (!steerer_.quotas().is_active())
+        return;
+    for (auto& [message, receivers] : steerer_.account_loads().next_messages(steerer_.quotas().own_load())) {
+        message.incarnation = own_.incarnation;
+        message.sequence = next_sequence();
+        const auto datagram = encode_datagram(message);
+        if (datagram.size() <= peer_link::max_datagram_bytes)
+            link_.send(datagram, receivers);
+    }
+}
+
 void peer_messenger::receive(const peer_message& message)
 {
     if (const auto* status = std::get_if<steering::instance_status>(&message))
@@ -62,6 +75,8 @@
         steerer_.limits().receive(*limits, steerer_.fanout().is_hub());
     else if (const auto* leaving = std::get_if<std::vector<steering::leaving_report>>(&message))
         steerer_.notices().receive(*leaving, steerer_.fanout().is_hub());
+    else if (const auto* loads = std::get_if<steering::account_load_message>(&message))
+        steerer_.account_loads().receive(*loads);
     else if (const auto* transfer = std::get_if<replication::table_transfer>(&message);
              transfer && on_transfer_)
         on_transfer_(*transfer);
--- a/source/gateway/peer_messenger.h
+++ b/source/gateway/peer_messenger.h
@@ -50,6 +50,8 @@
     void send_limit_reports();
     /** Sends which servers are known to leave, if any, to the same instances. */
     void send_leaving_reports();
+    /** Sends the loads of accounts with quotas, if there are any. */
+    void send_account_loads();
     /** Sends a change of the store to the instances of the region, and a status message with the version of
         the change to all instances. A change that does not fit into a datagram, nor does a transfer of it, is
        not sent: the other instances take it from those that have it. */
--- a/source/gateway/request_log.cpp
+++ b/source/gateway/request_log.cpp
@@ -23,6 +23,8 @@
             .add("planned_region", plan.region.str())
             .add_ms("time_limit_ms", plan.answer_by - plan.received);
     }
+    if (plan.account != nullptr)
+        line.add("account", plan.account->id.str()).add("urgency", plan.urgency());
     if (plan.object_hash != 0)
         line.add("object", plan.object_hash);
     if (plan.fingerprints) {
--- a/source/gateway/status_codec.cpp
+++ b/source/gateway/status_codec.cpp
@@ -172,6 +172,28 @@
     return reports;
 }
 
+peer_message from_message(const wire::account_loads& message)
+{
+    constexpr std::size_t max_accounts = 10000;
+    if (message.instance().empty() || message.scope() >= steering::number_of_load_scopes)
+        return {};
+    steering::account_load_message result;
+    result.instance = core::instance_id{message.instance()};
+    result.incarnation = {message.incarnation()};
+    result.sequence = message.sequence();
+    result.scope = static_cast<steering::load_scope>(message.scope());
+    result.region = core::region_id{message.region()};
+    const auto count = std::min({message.account_size(), message.demand_size(), message.admitted_size()});
+    for (int i = 0; i < count && result.loads.size() < max_accounts; ++i) {
+        const double demand = message.demand(i);
+        const double admitted = message.admitted(i);
+        // A comparison with a number that is none is false, too.
+        if (demand >= 0 && admitted >= 0 && std::isfinite(demand) && std::isfinite(admitted))
+            result.loads.push_back({message.account(i), demand, admitted});
+    }
+    return result;
+}
+
 } // namespace
 
 std::string encode_status(const steering::instance_status& status)
@@ -282,6 +304,23 @@
     return datagram.SerializeAsString();
 }
 
+std::string encode_datagram(const steering::account_load_message& loads)
+{
+    wire::peer_datagram datagram;
+    auto* message = datagram.mutable_accounts();
+    message->set_instance(loads.instance.str());
+    message->set_incarnation(loads.incarnation.value);
+    message->set_sequence(loads.sequence);
+    message->set_scope(static_cast<std::uint32_t>(loads.scope));
+    message->set_region(loads.region.str());
+    for (const auto& load : loads.loads) {
+        message->add_account(load.account);
+        message->add_demand(static_cast<float>(load.demand));
+        message->add_admitted(static_cast<float>(load.admitted));
+    }
+    return datagram.SerializeAsString();
+}
+
 peer_message decode_datagram(std::string_view datagram)
 {
     wire::peer_datagram parsed;
@@ -299,6 +338,8 @@
         return from_message(parsed.limits());
     if (parsed.has_leaving())
         return from_message(parsed.leaving());
+    if (parsed.has_accounts())
+        return from_message(parsed.accounts());
     if (parsed.has_transfer()) {
         auto transfer = replication::from_message(parsed.transfer());
         return transfer ? peer_message(std::move(*transfer)) : peer_message();
--- a/source/gateway/status_codec.h
+++ b/source/gateway/status_codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "replication/table_transfer.h"
+#include "steering/account_load_exchange.h"
 #include "steering/crash_evidence.h"
 #include "steering/peer_loads.h"
 #include "steering/peer_table.h"
@@ -24,10 +25,10 @@
 [[nodiscard]] std::optional<steering::instance_status> decode_status(std::string_view message);
 
 /** Decoded content of a datagram from another instance; `std::monostate` when it is invalid. */
-using peer_message =
-    std::variant<std::monostate, steering::instance_status, steering::instance_load, steering::table_change,
-                 std::vector<steering::crash_report>, std::vector<steering::limit_report>,
-                 std::vector<steering::leaving_report>, replication::table_transfer>;
+using peer_message = std::variant<std::monostate, steering::instance_status, steering::instance_load,
+                                  steering::table_change, std::vector<steering::crash_report>,
+                                  std::vector<steering::limit_report>, std::vector<steering::leaving_report>,
+                                  replication::table_transfer, steering::account_load_message>;
 
 /** @returns a serialised datagram with one message. */
 [[nodiscard]] std::string encode_datagram(const steering::instance_status& status);
@@ -38,6 +39,8 @@
 [[nodiscard]] std::string encode_datagram(const std::vector<steering::limit_report>& reports);
 [[nodiscard]] std::string encode_datagram(const std::vector<steering::leaving_report>& reports);
 
+[[nodiscard]] std::string encode_datagram(const steering::account_load_message& loads);
+
 /** @returns the message of a datagram, `std::monostate` when it is malformed, lacks the instance or belongs
    to an unknown table. */
 [[nodiscard]] peer_message decode_datagram(std::string_view datagram);
--- a/source/steering/peer_fanout.h
+++ b/source/steering/peer_fanout.h
@@ -37,6 +37,9 @@
     /** @returns whether this instance is the hub of its region, and has been for long enough to know the
      * others. */
     [[nodiscard]] bool is_hub() const;
+    /** @returns the address of the hub of the region, empty while this instance ranks first or none is known.
+     */
+    [[nodiscard]] const std::string& hub_address() const noexcept { return hub_address_; }
     /** @returns the receivers of the next status message. */
     [[nodiscard]] std::vector<std::string> status_receivers() const;
 
--- a/source/steering/request_plan.h
+++ b/source/steering/request_plan.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "accounts/accounts.h"
 #include "steering/request_fingerprint.h"
 #include "steering/server_choice.h"
 #include "steering/traffic_policy.h"
@@ -106,12 +107,17 @@
     request_identity identity{};
     /** Time by which a stopping instance must have answered all of its requests. */
     std::optional<core::time_point> answers_due{};
+    std::string_view api_key{}; ///< empty without one
 };
 
 /** State of one request from its arrival to its final answer; filled in by the steerer. */
 struct request_plan {
     std::shared_ptr<const traffic_policy> policy; ///< owns the route in `matched`
     const route* matched = nullptr;               ///< route of the request
+    /** Owned by the policy; null without accounts in the configuration, or on a route that needs no key. */
+    const accounts::client_account* account = nullptr;
+    /** Regions of the servers that both the route and the account allow; empty allows all. */
+    std::vector<core::region_id> allowed_regions;
     request_identity identity;
     /** Set when a server may have ended under the request, or under one with the same target. */
     std::optional<request_fingerprints> fingerprints;
@@ -128,6 +134,11 @@
     std::optional<unsigned> relayed_sends;
     std::vector<relay_record> relays;
 
+    /** @returns the urgency of the account, else that of the route; 0 is the most urgent. */
+    [[nodiscard]] unsigned urgency() const
+    {
+        return account != nullptr && account->urgency ? *account->urgency : matched->urgency;
+    }
     /** @returns the policy of the chosen service, or null when the configuration has none. */
     [[nodiscard]] const service_policy* policy_of_service() const
     {
--- a/source/steering/request_relay.cpp
+++ b/source/steering/request_relay.cpp
@@ -71,7 +71,7 @@
     std::vector<core::instance_id> tried;
     for (const auto& earlier : plan.relays)
         tried.push_back(earlier.instance);
-    auto chosen = instances_.choose(plan.matched->allowed_regions, tried);
+    auto chosen = instances_.choose(plan.allowed_regions, tried);
     if (!chosen)
         return std::nullopt;
     plan.relays.push_back({chosen->instance});
--- a/source/steering/route_table.cpp
+++ b/source/steering/route_table.cpp
@@ -44,10 +44,10 @@
     return nullptr;
 }
 
-bool route_table::is_most_urgent(const route& matched, const core::service_id& service) const
+bool route_table::is_most_urgent(unsigned urgency, const core::service_id& service) const
 {
     const auto found = most_urgent_.find(service);
-    return found == most_urgent_.end() || matched.urgency <= found->second;
+    return found == most_urgent_.end() || urgency <= found->second;
 }
 
 } // namespace knapweed::steering
--- a/source/steering/route_table.h
+++ b/source/steering/route_table.h
@@ -17,8 +17,8 @@
         @returns the route, which lives as long as the policy, or null. */
     [[nodiscard]] const route* find(std::string_view host, std::string_view path) const;
 
-    /** @returns whether no route to the service is more urgent than @p matched. */
-    [[nodiscard]] bool is_most_urgent(const route& matched, const core::service_id& service) const;
+    /** @returns whether no route to the service is more urgent. */
+    [[nodiscard]] bool is_most_urgent(unsigned urgency, const core::service_id& service) const;
 
     [[nodiscard]] const std::shared_ptr<const traffic_policy>& policy() const noexcept { return policy_; }
 
--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -26,9 +26,12 @@
 /** Callers of a quarantined request are not asked to come back soon. */
 constexpr core::milliseconds retry_after_quarantine{1000};
 
-core::rank rank_of(const route& matched)
+/** A caller of an account without tokens is not asked to come back at once. */
+constexpr core::milliseconds min_quota_wait{100};
+
+core::rank rank_of(const request_plan& plan)
 {
-    return core::all_ranks.at(std::min<std::size_t>(matched.urgency, core::number_of_ranks - 1));
+    return core::all_ranks.at(std::min<std::size_t>(plan.urgency(), core::number_of_ranks - 1));
 }
 
 } // namespace
@@ -39,6 +42,8 @@
       store_role_(options_.instance, options_.location.region, peers_, time, options_.capacity),
       copy_sources_(options_.location.region, peers_, store_role_, time, options_.seed),
       fanout_(options_.instance, options_.location.region, options_.capacity, peers_, time),
+      account_loads_(options_.instance, options_.location.region, peers_, fanout_, time),
+      quotas_(options_.quota_margin, time, options_.seed),
       cold_senders_(options_.instance, options_.location.region, peers_, time), distances_(options_.location),
       relay_(options_.location, options_.capacity, servers_, peers_, time, options_.seed),
       planner_(options_.location.region, servers_, peers_),
@@ -55,6 +60,8 @@
         return false;
     routes_ = std::make_unique<route_table>(std::make_shared<const traffic_policy>(std::move(policy)));
     shares_.keep_only(*routes_->policy());
+    const auto& accounts = routes_->policy()->accounts;
+    quotas_.set_accounts(accounts ? &*accounts : nullptr, peers_.known_peers() + 1);
     return true;
 }
 
@@ -80,6 +87,8 @@
             return refuse_step{core::refusal_reason::configuration_outdated, retry_after_without_servers};
         return refuse_step{core::refusal_reason::unknown_path, {}};
     }
+    if (const auto refused = authorise(facts.api_key, plan))
+        return *refused;
     plan.identity = facts.identity;
     plan.received = facts.received;
     plan.answer_by =
@@ -100,6 +109,11 @@
         if (auto step = relay_.start(plan))
             return *step;
     }
+    if (plan.account != nullptr) {
+        if (const auto wait = quotas_.request_received(*plan.account))
+            return refuse_step{core::refusal_reason::quota_exceeded,
+                               std::max<core::duration>(*wait, min_quota_wait)};
+    }
     const auto* service = shares_.next(*plan.matched);
     if (service == nullptr)
         return refuse_step{core::refusal_reason::unknown_service, retry_after_without_servers};
@@ -114,6 +128,62 @@
     return choose(plan);
 }
 
+core::duration steerer::round_trip_to(const core::region_id& region) const
+{
+    std::optional<core::duration> shortest;
+    for (const auto& [data_centre, its_region] : servers_.regions()) {
+        if (its_region != region)
+            continue;
+        const auto round_trip = distances_.round_trip({data_centre, its_region});
+        shortest = std::min(shortest.value_or(round_trip), round_trip);
+    }
+    return shortest.value_or(core::duration::zero());
+}
+
+core::region_id steerer::region_for(const request_plan& plan, service_state& state)
+{
+    const auto& own = options_.location.region;
+    const auto planned = state.regions().next().value_or(own);
+    const auto far = planned == own ? state.busiest_other_region(own) : planned;
+    if (far.empty())
+        return planned;
+    const auto run_time = state.decayed(answers_.run_times(*plan.matched).mean());
+    const auto to_target = plan.received + plan.matched->target_latency - time_.now();
+    const double near_chance =
+        admission::chance_in_time(run_time, distances_.round_trip(options_.location), to_target);
+    const double far_chance = admission::chance_in_time(run_time, round_trip_to(far), to_target);
+    state.record_timeliness(near_chance, far_chance);
+    const double gain = (near_chance - far_chance) / std::chrono::duration<double>(run_time).count();
+    return state.exchange().choose(planned, own, far, gain);
+}
+
+std::optional<refuse_step> steerer::authorise(std::string_view api_key, request_plan& plan) const
+{
+    plan.allowed_regions = plan.matched->allowed_regions;
+    if (!plan.policy->accounts || plan.matched->authentication_exempt)
+        return std::nullopt;
+    plan.account = plan.policy->accounts->find_by_key(api_key);
+    if (plan.account == nullptr) {
+        // The key may belong to an account of the newer configuration.
+        if (store_role_.is_outdated(replicated_table::operators))
+            return refuse_step{core::refusal_reason::configuration_outdated, retry_after_without_servers};
+        return refuse_step{core::refusal_reason::unknown_api_key, {}};
+    }
+    const auto& of_account = plan.account->allowed_regions;
+    if (of_account.empty())
+        return std::nullopt;
+    if (plan.allowed_regions.empty()) {
+        plan.allowed_regions = of_account;
+        return std::nullopt;
+    }
+    std::erase_if(plan.allowed_regions, [&of_account](const core::region_id& region) {
+        return std::find(of_account.begin(), of_account.end(), region) == of_account.end();
+    });
+    if (plan.allowed_regions.empty())
+        return refuse_step{core::refusal_reason::no_backend_server, {}};
+    return std::nullopt;
+}
+
 choice_request steerer::make_choice_request(const request_plan& plan)
 {
     const auto now = time_.now();
@@ -136,7 +206,7 @@
         return cold_senders_.may_send_to_cold(server, senders);
     };
     request.limit_wait = [this, &plan, demand = state.demand().per_second()](const backend_server& server) {
-        const bool yields = !routes_->is_most_urgent(*plan.matched, plan.service);
+        const bool yields = !routes_->is_most_urgent(plan.urgency(), plan.service);
         return server.limit().wait(limits_.share_of(server, demand), yields);
     };
     return request;
@@ -165,7 +235,7 @@
     if (const auto* choice = std::get_if<server_choice>(&in_other_regions)) {
         // The shift limit does not apply to a request whose planned region has no server, nor to a retry.
         const bool exempt_from_limit = planned.empty() || !plan.tried.empty();
-        if (exempt_from_limit || state_of(plan).regions().try_spill(rank_of(*plan.matched)))
+        if (exempt_from_limit || state_of(plan).regions().try_spill(rank_of(plan)))
             return send(plan, *choice);
         return refuse_or_fail(plan, core::refusal_reason::shift_cap, failure.shortest_wait);
     }
@@ -190,6 +260,8 @@
                              recent_object_limit(peers_.known_peers_in(options_.location.region) + 1));
     }
     server.record_send();
+    if (plan.account != nullptr && plan.attempts.size() == 1)
+        quotas_.request_sent(*plan.account);
     if (server.limit().per_second())
         server.limit().request_sent(limits_.share_of(server, state_of(plan).demand().per_second()));
     return send_step{choice.server, plan.answer_by,
@@ -222,11 +294,22 @@
     servers_.set_store_reachable(store_role_.store_reachable());
     servers_.tick(policy());
     peer_loads_.tick();
+    update_quotas();
     relay_.tick([this](const core::service_id& service) { return services_.unfamiliar_run_time(service); });
     services_.tick(planner_);
     return stalled ? gap : core::duration::zero();
 }
 
+void steerer::update_quotas()
+{
+    account_loads_.tick();
+    if (!quotas_.is_active())
+        return;
+    if (const auto others = account_loads_.others())
+        quotas_.set_others(*others, peers_.known_peers() + 1);
+    quotas_.tick();
+}
+
 std::vector<instance_load::entry> steerer::own_load() const
 {
     std::vector<instance_load::entry> result;
--- a/source/steering/steerer.h
+++ b/source/steering/steerer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "steering/account_load_exchange.h"
 #include "steering/answer_estimates.h"
 #include "steering/cold_sender_selector.h"
 #include "steering/copy_source_selector.h"
@@ -37,6 +38,9 @@
      * `retry_extra` requests. */
     double retry_ratio = 0.2;
     double retry_extra = 60;
+    /** In any window, all instances together may run this much more of an account's requests than its quota
+     * allows. */
+    accounts::quota_margin quota_margin{0.1, 20};
     core::milliseconds shift_window{2000};
     std::uint64_t seed = 0;
 };
@@ -78,6 +82,8 @@
     [[nodiscard]] request_quarantine& quarantine() noexcept { return quarantine_; }
     [[nodiscard]] server_limits& limits() noexcept { return limits_; }
     [[nodiscard]] server_notices& notices() noexcept { return notices_; }
+    [[nodiscard]] const accounts::quota_limiter& quotas() const noexcept { return quotas_; }
+    [[nodiscard]] account_load_exchange& account_loads() noexcept { return account_loads_; }
 
     /** Starts a request. @param plan is filled in; pass it to each `attempt_ended` of the request. */
     [[nodiscard]] next_step begin(const request_facts& facts, request_plan& plan);
@@ -108,6 +114,9 @@
     [[nodiscard]] region_summary region_sum() const;
 
 private:
+    /** Finds the account of a request and the regions that it may run in. @returns a refusal if it may not
+     * run. */
+    [[nodiscard]] std::optional<refuse_step> authorise(std::string_view api_key, request_plan& plan) const;
     [[nodiscard]] service_state& state_of(const request_plan& plan);
     [[nodiscard]] next_step choose(request_plan& plan);
     [[nodiscard]] next_step send(request_plan& plan, const server_choice& choice);
@@ -116,6 +125,11 @@
     /** @returns a refusal, or a failure with unknown outcome when an attempt may have run. */
     [[nodiscard]] next_step refuse_or_fail(const request_plan& plan, core::refusal_reason refusal,
                                            core::duration shortest_wait);
+    /** @returns the shortest round trip to the data centres of a region. */
+    [[nodiscard]] core::duration round_trip_to(const core::region_id& region) const;
+    /** @returns the region whose servers are asked first. */
+    [[nodiscard]] core::region_id region_for(const request_plan& plan, service_state& state);
+    void update_quotas();
     [[nodiscard]] choice_request make_choice_request(const request_plan& plan);
     void record_result(request_plan& plan, backend_server& server, const attempt_result& result);
 
@@ -130,6 +144,8 @@
     store_reader_role store_role_;
     copy_source_selector copy_sources_;
     peer_fanout fanout_;
+    account_load_exchange account_loads_;
+    accounts::quota_limiter quotas_;
     cold_sender_selector cold_senders_;
     distance_table distances_;
     request_relay relay_; ///< has other instances send requests
--- a/source/steering/steering.h
+++ b/source/steering/steering.h
@@ -5,6 +5,7 @@
    module does no I/O and starts no threads; it reads the time from a clock that is passed in. Its main class
    is `steerer`. */
 
+#include "steering/account_load_exchange.h"
 #include "steering/answer_estimates.h"
 #include "steering/arrival_rate.h"
 #include "steering/backend_server.h"
@@ -24,6 +25,7 @@
 #include "steering/peer_loads.h"
 #include "steering/peer_table.h"
 #include "steering/recent_objects.h"
+#include "steering/region_exchange.h"
 #include "steering/region_plan.h"
 #include "steering/region_planner.h"
 #include "steering/relay_selector.h"
@@ -35,6 +37,7 @@
 #include "steering/retry_allowance.h"
 #include "steering/retry_time.h"
 #include "steering/route_table.h"
+#include "steering/run_time_estimate.h"
 #include "steering/server_catalogue.h"
 #include "steering/server_choice.h"
 #include "steering/server_end_monitor.h"
--- a/source/steering/traffic_policy.h
+++ b/source/steering/traffic_policy.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "core/core.h"
+#include "accounts/accounts.h"
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -27,8 +28,17 @@
     bool object_affinity = false;         ///< a server that has recently handled the same object is faster
     std::vector<service_share> shares;
     std::vector<core::region_id> allowed_regions; ///< regions of the servers; empty allows all
+    bool authentication_exempt = false;           ///< requests need no API key although others do
 };
 
+/** @returns the target latency from which run times are assumed at first: a run must end within the timeout
+   of the route, even if its target is late. */
+[[nodiscard]] inline core::milliseconds assumed_target(const route& of)
+{
+    constexpr int min_targets_per_timeout = 2;
+    return std::min(of.target_latency, of.timeout / min_targets_per_timeout);
+}
+
 /** Limits of each server of one service. */
 struct service_policy {
     unsigned max_connections = 0;        ///< to one server, from all instances together; 0 when not set
@@ -50,6 +60,8 @@
     std::uint64_t content_hash = 0; ///< of its text in the store
     std::vector<route> routes;
     std::map<core::service_id, service_policy> services;
+    /** When present, requests need the API key of one of these accounts. */
+    std::optional<accounts::account_table> accounts;
     caller_limits limits;
 };
 
--- a/tests/fuzz/peer_datagrams_target.cpp
+++ b/tests/fuzz/peer_datagrams_target.cpp
@@ -77,6 +77,8 @@
         steerer.limits().receive(*limits, steerer.fanout().is_hub());
     else if (const auto* leaving = std::get_if<std::vector<steering::leaving_report>>(&message))
         steerer.notices().receive(*leaving, steerer.fanout().is_hub());
+    else if (const auto* loads = std::get_if<steering::account_load_message>(&message))
+        steerer.account_loads().receive(*loads);
 }
 
 /** @returns the next datagram of the input: two bytes state its length, the last one is what is left. */
@@ -123,5 +125,8 @@
         (void)steerer.limits().reports(true);
         (void)steerer.quarantine().reports();
         (void)steerer.notices().all_reports();
+        for (const auto& load :
+             steerer.account_loads().others().value_or(std::vector<accounts::account_load>()))
+            require(load.demand >= 0 && load.admitted >= 0, "the load of an account is a number of requests");
     }
 }
--- a/tests/gateway/forwarding_fixture.cpp
+++ b/tests/gateway/forwarding_fixture.cpp
@@ -98,6 +98,16 @@
     run_on_gateway_thread([this, &record] { steerer_.servers().put(record); });
 }
 
+void forwarding_fixture::change_policy(const std::function<void(steering::traffic_policy&)>& change)
+{
+    run_on_gateway_thread([this, &change] {
+        auto policy = *steerer_.policy();
+        ++policy.version;
+        change(policy);
+        (void)steerer_.apply(std::move(policy));
+    });
+}
+
 net::asio::awaitable<void> forwarding_fixture::forward(std::shared_ptr<gateway::caller_exchange> exchange)
 {
     const auto request = std::make_shared<gateway::forwarded_request>(context_, std::move(exchange));
--- a/tests/gateway/forwarding_fixture.h
+++ b/tests/gateway/forwarding_fixture.h
@@ -26,6 +26,8 @@
     dialect.request_limit_field = "X-Limit";
     dialect.parse_request_limit = [](std::string_view) { return std::optional<double>(); };
     dialect.parse_load = [](std::string_view) { return std::optional<steering::load_report>(); };
+    dialect.api_key_field = "X-Key";
+    dialect.account_field = "X-Account";
     dialect.readiness_path = "/ready";
     dialect.lookup_path = "/look-up";
     dialect.write_lookup_answer = [](const auto&, auto) { return std::string("{}"); };
@@ -68,6 +70,8 @@
     [[nodiscard]] std::size_t requests_at_servers() const;
     /** Writes an entry for the server with a number: another one, or its own anew with another start time. */
     void put_entry(std::size_t index, const std::string& id, std::uint64_t started_unix_ms);
+    /** Applies a changed version of the configuration. */
+    void change_policy(const std::function<void(steering::traffic_policy&)>& change);
     /** @returns the gateway's estimate of the share of failures of a server; call it on the gateway's thread.
      */
     [[nodiscard]] double failure_share_of(std::size_t index) const;
--- a/tests/gateway/parts_test.cpp
+++ b/tests/gateway/parts_test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 #include <fcntl.h>
+#include <map>
 #include <unistd.h>
 
 using namespace knapweed;
@@ -41,8 +42,12 @@
 TEST_CASE("refusals and unknown outcomes have different statuses, and hop-by-hop fields are recognised")
 {
     for (std::size_t i = 0; i < core::number_of_values<core::refusal_reason>; ++i) {
-        const auto status = status_of(static_cast<core::refusal_reason>(i));
-        REQUIRE((status == 503 || status == 404));
+        const auto reason = static_cast<core::refusal_reason>(i);
+        const std::map<core::refusal_reason, unsigned> others{{core::refusal_reason::unknown_path, 404},
+                                                              {core::refusal_reason::unknown_api_key, 401},
+                                                              {core::refusal_reason::quota_exceeded, 429}};
+        const auto other = others.find(reason);
+        REQUIRE(status_of(reason) == (other == others.end() ? 503 : other->second));
     }
     REQUIRE(status_of(core::unknown_reason::server_timeout) == 504);
     REQUIRE(status_of(core::unknown_reason::connection_lost) == 502);
--- a/tests/platform/fuzz/configuration_target.cpp
+++ b/tests/platform/fuzz/configuration_target.cpp
@@ -24,6 +24,20 @@
                   "the time limits of callers are real ones");
 }
 
+void check_accounts(const steering::traffic_policy& policy)
+{
+    if (!policy.accounts)
+        return;
+    for (const auto& account : policy.accounts->accounts()) {
+        fuzz::require(account.limit.per_second >= 0 && account.limit.burst >= 0,
+                      "a quota is a number of requests");
+        fuzz::require(account.id.str().find_first_of("\r\n") == std::string::npos,
+                      "a name ends no header field");
+        for (const auto& key : account.api_keys)
+            fuzz::require(policy.accounts->find_by_key(key)->id == account.id, "a key leads to its account");
+    }
+}
+
 } // namespace
 
 // Guards against a configuration that ends the process, or whose numbers break the steering.
@@ -34,6 +48,7 @@
     if (policy == nullptr)
         return;
     check_times(*policy);
+    check_accounts(*policy);
     const auto routes = policy->routes;
     const auto services = policy->services;
 
--- a/tests/platform/settings_template_test.cpp
+++ b/tests/platform/settings_template_test.cpp
@@ -22,6 +22,7 @@
             {"internalPorts.0", "7620"},
             {"limits.cpuShare", "0.2"},
             {"limits.cores", "1"},
+            {"limits.maxFds", "4100"},
             {"listen.front", "127.0.0.1:1"},
             {"listen.ready", "127.0.0.1:2"},
             {"listen.directory", "127.0.0.1:3"},
@@ -38,6 +39,15 @@
 std::string render(std::string text, const field_values& fields)
 {
     text = std::regex_replace(text, std::regex(R"(\{\{#zones\}\}[^]*\{\{/zones\}\})"), "a = r");
+    // A section of a field is left out where the field has no value.
+    const std::regex section(R"(\{\{#([\w.]+)\}\}\n([^]*?)\{\{/\1\}\}\n)");
+    for (std::smatch found; std::regex_search(text, found, section);) {
+        const auto field = fields.find(found[1]);
+        const auto inner = field == fields.end()
+                               ? std::string()
+                               : std::regex_replace(found[2].str(), std::regex(R"(\{\{\.\}\})"), field->second);
+        text = found.prefix().str() + inner + found.suffix().str();
+    }
     for (const auto& [name, value] : fields) {
         const auto placeholder = "{{" + name + "}}";
         for (auto at = text.find(placeholder); at != std::string::npos; at = text.find(placeholder))
@@ -72,3 +82,18 @@
         CHECK(read.settings.grace_period == core::milliseconds(name == "bounds.graceS" ? 6250 : 6000));
     }
 }
+
+// Guards against a tolerance of quotas that the platform states and the template leaves out, or the other way round.
+TEST_CASE("the tolerance of quotas is that of the platform, and the default where it states none")
+{
+    const auto text = read_template();
+    auto fields = sample_fields();
+    const auto without = gateway::parse_gateway_settings(render(text, fields));
+    REQUIRE(without.settings.quota_margin.slack == 20);
+    fields["bounds.quotaExcess"] = "0.25";
+    fields["bounds.quotaSlack"] = "7";
+    const auto read = gateway::parse_gateway_settings(render(text, fields));
+    REQUIRE(read.errors.empty());
+    REQUIRE(read.settings.quota_margin.excess == 0.25);
+    REQUIRE(read.settings.quota_margin.slack == 7);
+}
