Share overload between regions by what other regions answer in time, and estimate run times by route

Routes with different run times on one service had one estimate, so short requests were taken for long ones.

--- a/source/steering/region_plan.cpp
+++ b/source/steering/region_plan.cpp
@@ -21,8 +21,9 @@
 };
 
 /** Reduces the capacities to the planned utilisation and, when the total demand exceeds them, scales them up
-   by the square root of demand / capacity. `plan_regions` states the reason. */
-std::vector<planned_supply> scale(const std::vector<region_supply>& supplies)
+   by a power of demand / capacity: the square root, or more with evenness. `plan_regions` states the reason.
+ */
+std::vector<planned_supply> scale(const std::vector<region_supply>& supplies, double evenness)
 {
     double capacity = 0;
     double demand = 0;
@@ -31,7 +32,8 @@
         demand += supply.demand;
     }
     const double factor =
-        capacity > 0 ? planned_utilisation * std::sqrt(std::max(1.0, demand / capacity)) : 0;
+        capacity > 0 ? planned_utilisation * std::pow(std::max(1.0, demand / capacity), (1 + evenness) / 2)
+                     : 0;
     std::vector<planned_supply> planned;
     planned.reserve(supplies.size());
     for (const auto& supply : supplies)
@@ -42,10 +44,10 @@
 } // namespace
 
 state::weights_of<core::region_id> plan_regions(const core::region_id& own,
-                                                const std::vector<region_supply>& supplies)
+                                                const std::vector<region_supply>& supplies, double evenness)
 {
     state::weights_of<core::region_id> weights;
-    const auto planned = scale(supplies);
+    const auto planned = scale(supplies, evenness);
     double capacity = 0;
     double own_capacity = 0;
     double own_demand = 0;
--- a/source/steering/region_plan.h
+++ b/source/steering/region_plan.h
@@ -24,9 +24,11 @@
    instance of a region computes the same weights from the same supplies.
 
     @param own region whose callers' requests are divided. @param supplies all regions, @p own among them.
+    @param evenness from 0 to 1: 0 scales by the square root as described; 1 scales up to the demand, for
+   requests that other regions answer in time as well.
     @returns relative weights by region; empty when no region has capacity.
 */
-[[nodiscard]] state::weights_of<core::region_id> plan_regions(const core::region_id& own,
-                                                              const std::vector<region_supply>& supplies);
+[[nodiscard]] state::weights_of<core::region_id>
+plan_regions(const core::region_id& own, const std::vector<region_supply>& supplies, double evenness = 0);
 
 } // namespace knapweed::steering
--- a/source/steering/region_planner.cpp
+++ b/source/steering/region_planner.cpp
@@ -60,7 +60,7 @@
         supply.demand = std::max(assumed, demand_in(service, region, state));
         supply_list.push_back(supply);
     }
-    state.regions().set_target(plan_regions(own_, supply_list));
+    state.regions().set_target(plan_regions(own_, supply_list, state.timely_far_share()));
 }
 
 } // namespace knapweed::steering
--- a/source/steering/server_choice.cpp
+++ b/source/steering/server_choice.cpp
@@ -85,7 +85,7 @@
 /** @returns the factor by which a server counts as slower because it has not answered for long. */
 double unanswered_factor(const choice_request& request, const backend_server& server)
 {
-    const auto normal = request.unfamiliar_run_time * normal_unanswered_runs;
+    const auto normal = request.longest_run_time * normal_unanswered_runs;
     const auto unanswered = server.unanswered_time();
     return unanswered <= normal
                ? 1
@@ -122,7 +122,7 @@
     result.free_share =
         slots > 1 ? (slots - 1 - server->occupancy().total()) / (slots - 1) : 1 - server->occupancy().total();
     result.needs_fetch = has_object && !familiar;
-    result.wait = milliseconds_d(request.run_time) * slowness * queued / slots;
+    result.wait = milliseconds_d(request.queued_run_time) * slowness * queued / slots;
     result.expected_time = milliseconds_d(distances.round_trip(location)) + result.wait + run_time * slowness;
     result.cost = result.expected_time + server->failures().failure_share() * failure_cost +
                   transfer_cost(request, distances.to(location)) + order_cost(request, *server);
--- a/source/steering/server_choice.h
+++ b/source/steering/server_choice.h
@@ -3,6 +3,7 @@
 #include "steering/distance_table.h"
 #include "steering/server_catalogue.h"
 
+#include <optional>
 #include <span>
 #include <variant>
 
@@ -10,15 +11,17 @@
 
 /** Properties of a request on which the choice of its server depends. */
 struct choice_request {
-    std::uint64_t object_hash = 0;        ///< hash of the object that the request concerns; 0 for none
-    std::uint64_t random = 0;             ///< orders similar servers for a request without an object
-    core::duration time_left{};           ///< until the final answer is due
-    core::duration time_to_target{};      ///< until the answer is worth less; negative after that time
-    core::duration run_time{};            ///< mean run time at a server with a free slot
-    core::duration familiar_run_time{};   ///< run time at a server that has cached the object
-    core::duration unfamiliar_run_time{}; ///< run time at a server that has to fetch the object
-    double answer_kilobytes = 0;          ///< expected size of the answer
-    core::duration cold_spacing{};        ///< minimum time between two requests to a cold server
+    std::uint64_t object_hash = 0;   ///< hash of the object that the request concerns; 0 for none
+    std::uint64_t random = 0;        ///< orders similar servers for a request without an object
+    core::duration time_left{};      ///< until the final answer is due
+    core::duration time_to_target{}; ///< until the answer is worth less; negative after that time
+    core::duration run_time{};       ///< mean run time of the route's requests at a server with a free slot
+    core::duration familiar_run_time{};   ///< the same at a server that has cached the object
+    core::duration unfamiliar_run_time{}; ///< the same at a server that has to fetch the object
+    core::duration queued_run_time{};  ///< mean run time of the service's requests, which wait in front of it
+    core::duration longest_run_time{}; ///< run time of the service's requests whose object has to be fetched
+    double answer_kilobytes = 0;       ///< expected size of the answer
+    core::duration cold_spacing{};     ///< minimum time between two requests to a cold server
     /** Whether the request may be sent to a cold server; an empty function allows all. */
     std::function<bool(const backend_server&)> may_send_to_cold;
     /** Time until the request may be sent to a server that names a limit, 0 for now; an empty function allows
--- a/source/steering/service_table.cpp
+++ b/source/steering/service_table.cpp
@@ -8,10 +8,6 @@
 
 constexpr core::milliseconds plan_interval{500};
 
-/** The run times that are assumed at first must end within the timeout of the route, even if its target is
- * late. */
-constexpr int min_targets_per_timeout = 2;
-
 } // namespace
 
 service_state& service_table::state_of(const core::service_id& service, const route& first)
@@ -19,8 +15,7 @@
     const auto found = states_.find(service);
     if (found != states_.end())
         return found->second;
-    const auto target = std::min(first.target_latency, first.timeout / min_targets_per_timeout);
-    return states_.emplace(service, service_state(cap_, target, time_)).first->second;
+    return states_.emplace(service, service_state(cap_, assumed_target(first), time_)).first->second;
 }
 
 std::optional<core::duration> service_table::unfamiliar_run_time(const core::service_id& service) const
--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -124,7 +124,7 @@
     retries_.request_received(plan.service);
     if (state.regions().weights().empty())
         planner_.plan(plan.service, state);
-    plan.region = state.regions().next().value_or(options_.location.region);
+    plan.region = region_for(plan, state);
     return choose(plan);
 }
 
@@ -193,9 +193,12 @@
     request.time_left = plan.answer_by - now;
     request.time_to_target = plan.received + plan.matched->target_latency - now;
     const auto& state = state_of(plan);
-    request.run_time = state.run_time();
-    request.familiar_run_time = state.familiar_run_time();
-    request.unfamiliar_run_time = state.unfamiliar_run_time();
+    const auto& of_route = answers_.run_times(*plan.matched);
+    request.run_time = state.decayed(of_route.mean());
+    request.familiar_run_time = state.decayed(of_route.familiar());
+    request.unfamiliar_run_time = state.decayed(of_route.unfamiliar());
+    request.queued_run_time = state.run_time();
+    request.longest_run_time = state.unfamiliar_run_time();
     if (const auto kilobytes = answers_.kilobytes(plan.matched->name))
         request.answer_kilobytes = *kilobytes;
     const auto* service = plan.policy_of_service();
@@ -215,7 +218,7 @@
 next_step steerer::choose(request_plan& plan)
 {
     const auto request = make_choice_request(plan);
-    const auto servers = servers_.usable(plan.service, plan.matched->allowed_regions);
+    const auto servers = servers_.usable(plan.service, plan.allowed_regions);
     std::vector<server_pointer> planned;
     std::vector<server_pointer> others;
     for (const auto& server : servers)
--- a/tests/steering/server_choice_test.cpp
+++ b/tests/steering/server_choice_test.cpp
@@ -21,6 +21,8 @@
         request.run_time = milliseconds(100);
         request.familiar_run_time = milliseconds(72);
         request.unfamiliar_run_time = milliseconds(240);
+        request.queued_run_time = request.run_time;
+        request.longest_run_time = request.unfamiliar_run_time;
     }
 
     server_pointer choose(std::span<const server_pointer> excluded = {})
@@ -148,6 +150,7 @@
     fixture.request.answer_kilobytes = 90;
     fixture.request.familiar_run_time = milliseconds(58);
     fixture.request.unfamiliar_run_time = milliseconds(192);
+    fixture.request.longest_run_time = milliseconds(192);
     for (int object = 1; object < 40; ++object) {
         fixture.request.object_hash = core::hash_text(std::to_string(object));
         REQUIRE(fixture.choose()->record().data_centre == test::sample_location().data_centre);
