Let instances that have just started use an equal part of a quota

Cause: an instance without news of the others kept to the demand that it had told them, which is 0 after its start, so after a power cut all accounts were refused until the hubs were known. Change: until the first news it uses an equal part of the rate.

--- a/source/accounts/quota_bucket.cpp
+++ b/source/accounts/quota_bucket.cpp
@@ -51,6 +51,8 @@
     constexpr double rate_without_token = 0.5;
     if (limit_.per_second * part_ < rate_without_token && random < common_tokens_ * part_)
         tokens_ = 1;
+    // Until this instance has told the others its demand, it may use an equal part.
+    reported_demand_ = limit_.per_second * part_;
 }
 
 double quota_bucket::common_capacity() const
