--- a/source/gateway/caller_session.cpp
+++ b/source/gateway/caller_session.cpp
@@ -381,6 +381,10 @@
 {
     if (closed_ || !exchanges_.empty() || write_began_)
         return std::nullopt;
+    // A close would take along the part of the last answer that the caller has not received yet.
+    int undelivered = 0;
+    if (::ioctl(stream_->socket.native_handle(), SIOCOUTQ, &undelivered) == 0 && undelivered > 0)
+        return std::nullopt;
     return context_->time.now() - phase_began_;
 }
 
