--- a/source/admission/admission.h
+++ b/source/admission/admission.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/** Module admission: which requests get the room that a service has when there is too little for all. The module
-   knows what callers still gain from an answer, but no servers and no sockets. */
+/** Module admission: which requests get room when a service has too little for all. It knows what callers
+   still gain from an answer, but no servers and no sockets. */
 
 #include "admission/timeliness.h"
--- a/tests/platform/settings_template_test.cpp
+++ b/tests/platform/settings_template_test.cpp
@@ -43,9 +43,10 @@
     const std::regex section(R"(\{\{#([\w.]+)\}\}\n([^]*?)\{\{/\1\}\}\n)");
     for (std::smatch found; std::regex_search(text, found, section);) {
         const auto field = fields.find(found[1]);
-        const auto inner = field == fields.end()
-                               ? std::string()
-                               : std::regex_replace(found[2].str(), std::regex(R"(\{\{\.\}\})"), field->second);
+        const auto inner =
+            field == fields.end()
+                ? std::string()
+                : std::regex_replace(found[2].str(), std::regex(R"(\{\{\.\}\})"), field->second);
         text = found.prefix().str() + inner + found.suffix().str();
     }
     for (const auto& [name, value] : fields) {
@@ -83,7 +84,8 @@
     }
 }
 
-// Guards against a tolerance of quotas that the platform states and the template leaves out, or the other way round.
+// Guards against a tolerance of quotas that the platform states and the template leaves out, or the other way
+// round.
 TEST_CASE("the tolerance of quotas is that of the platform, and the default where it states none")
 {
     const auto text = read_template();
