--- a/source/accounts/quota_limiter.cpp
+++ b/source/accounts/quota_limiter.cpp
@@ -34,7 +34,7 @@
                 known == buckets_.end()
                     ? buckets.try_emplace(hash, account.limit, margin_, instances, random_.fraction())
                           .first->second
-                    : buckets.try_emplace(hash, std::move(known->second)).first->second;
+                    : buckets.try_emplace(hash, known->second).first->second;
             bucket.set_limit(account.limit);
         }
     }
