--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -143,7 +143,7 @@
 core::region_id steerer::region_for(const request_plan& plan, service_state& state)
 {
     const auto& own = options_.location.region;
-    const auto planned = state.regions().next().value_or(own);
+    auto planned = state.regions().next().value_or(own);
     const auto far = planned == own ? state.busiest_other_region(own) : planned;
     if (far.empty())
         return planned;
