--- a/tests/steering/authorisation_test.cpp
+++ b/tests/steering/authorisation_test.cpp
@@ -74,7 +74,7 @@
     test::steerer_fixture fixture;
     auto policy = policy_with({make_account("a", "k")});
     policy.routes.front().authentication_exempt = true;
-    REQUIRE(fixture.steerer.apply(std::move(policy)));
+    REQUIRE(fixture.steerer.apply(policy));
     request_plan plan;
     REQUIRE(std::holds_alternative<send_step>(begin(fixture, plan, "")));
     REQUIRE(plan.account == nullptr);
