--- a/review/stand_ins_2.cc
+++ b/review/stand_ins_2.cc
@@ -192,11 +192,44 @@
 std::string store::listen_at(const std::string& ip, milliseconds one_way)
 {
     const std::string address = ip + ":8642";
-    auto acceptor = std::make_shared<tcp::acceptor>(io_, tcp::endpoint(asio::ip::make_address(ip), 8642));
-    asio::co_spawn(io_, accept(std::move(acceptor), address, one_way), asio::detached);
+    auto& opened = entrances_[address];
+    opened.ip = ip;
+    opened.one_way = one_way;
+    open(opened);
     return address;
 }
 
+void store::open(entrance& opened)
+{
+    opened.acceptor = std::make_shared<tcp::acceptor>(io_, tcp::endpoint(asio::ip::make_address(opened.ip), 8642));
+    asio::co_spawn(io_, accept(opened.acceptor, opened), asio::detached);
+}
+
+void store::cut(const std::string& address)
+{
+    auto& at = entrances_.at(address);
+    boost::system::error_code ignored;
+    if (at.acceptor)
+        at.acceptor->close(ignored);
+    at.acceptor.reset();
+    for (const auto& weak : at.connections) {
+        if (const auto socket = weak.lock()) {
+            socket->set_option(asio::socket_base::linger(true, 0), ignored);
+            socket->close(ignored);
+        }
+    }
+    at.connections.clear();
+    log_.say("store: cut off from the machine that calls %s", address.c_str());
+}
+
+void store::heal(const std::string& address)
+{
+    auto& at = entrances_.at(address);
+    if (!at.acceptor)
+        open(at);
+    log_.say("store: reached again by the machine that calls %s", address.c_str());
+}
+
 std::uint64_t store::put(const std::string& table, const std::string& key, const json& value)
 {
     tables_[table][key] = {value.dump(), ++version_, false};
@@ -213,33 +246,33 @@
     return version_;
 }
 
-awaitable<void> store::accept(std::shared_ptr<tcp::acceptor> acceptor, std::string address, milliseconds one_way)
+awaitable<void> store::accept(std::shared_ptr<tcp::acceptor> acceptor, entrance& at)
 {
     for (;;) {
-        while (cut_.count(address) > 0)
-            co_await pause(milliseconds(5));
         auto [error, socket] = co_await acceptor->async_accept(as_result);
         if (error)
             co_return;
-        asio::co_spawn(io_, serve(std::move(socket), address, one_way), asio::detached);
+        auto shared = std::make_shared<tcp::socket>(std::move(socket));
+        std::erase_if(at.connections, [](const auto& weak) { return weak.expired(); });
+        at.connections.push_back(shared);
+        asio::co_spawn(io_, serve(std::move(shared), at), asio::detached);
     }
 }
 
-awaitable<void> store::serve(tcp::socket socket, std::string address, milliseconds one_way)
+awaitable<void> store::serve(std::shared_ptr<tcp::socket> socket, const entrance& at)
 {
+    const std::string address = at.ip + ":8642";
     beast::flat_buffer buffer;
     for (;;) {
         request call;
-        const auto [error, bytes] = co_await http::async_read(socket, buffer, call, as_result);
+        const auto [error, bytes] = co_await http::async_read(*socket, buffer, call, as_result);
         if (error)
             co_return;
-        co_await pause(one_way + answer_time);
+        co_await pause(at.one_way + answer_time);
         auto result = co_await answer(call, address);
-        co_await pause(one_way);
-        while (cut_.count(address) > 0)
-            co_await pause(milliseconds(5));
+        co_await pause(at.one_way);
         result.prepare_payload();
-        const auto [write_error, written] = co_await http::async_write(socket, result, as_result);
+        const auto [write_error, written] = co_await http::async_write(*socket, result, as_result);
         if (write_error)
             co_return;
     }
@@ -298,6 +331,8 @@
         const auto table = parameter(target, "tableName");
         const auto after = number(parameter(target, "after"));
         const auto until = steady::now() + milliseconds(number(parameter(target, "waitMs")));
+        if (number(parameter(target, "waitMs")) > 0)
+            last_feed[called] = steady::now();
         auto rows = rows_after(table, after);
         while (rows.empty() && steady::now() < until) {
             co_await pause(milliseconds(3));
--- a/review/stand_ins_2.hh
+++ b/review/stand_ins_2.hh
@@ -86,9 +86,11 @@
     // address, so machines are told apart by the address that they call.
     // Returns the address for the settings.
     std::string listen_at(const std::string& ip, milliseconds one_way);
-    // Cuts the machines that call an address off: no byte passes any more, connections stay open.
-    void cut(const std::string& address) { cut_.insert(address); }
-    void heal(const std::string& address) { cut_.erase(address); }
+    // Cuts the machines that call an address off: their connections are reset, new ones are refused; or heals the cut.
+    void cut(const std::string& address);
+    void heal(const std::string& address);
+    // When a machine last began to wait for changes, by the address that it calls.
+    std::map<std::string, steady::time_point> last_feed;
     // What the operator and the servers write. Returns the version; the row is acknowledged with the return.
     std::uint64_t put(const std::string& table, const std::string& key, const json& value);
     std::uint64_t remove(const std::string& table, const std::string& key);
@@ -107,14 +109,22 @@
     using request = http::request<http::string_body>;
     using response = http::response<http::string_body>;
 
-    awaitable<void> accept(std::shared_ptr<tcp::acceptor> acceptor, std::string address, milliseconds one_way);
-    awaitable<void> serve(tcp::socket socket, std::string address, milliseconds one_way);
+    struct entrance {
+        std::string ip;
+        milliseconds one_way{0};
+        std::shared_ptr<tcp::acceptor> acceptor; // null while it is cut off
+        std::list<std::weak_ptr<tcp::socket>> connections;
+    };
+
+    void open(entrance& opened);
+    awaitable<void> accept(std::shared_ptr<tcp::acceptor> acceptor, entrance& at);
+    awaitable<void> serve(std::shared_ptr<tcp::socket> socket, const entrance& at);
     awaitable<response> answer(const request& call, const std::string& called);
     json rows_after(const std::string& table, std::uint64_t version) const;
 
     asio::io_context& io_;
     record& log_;
-    std::set<std::string> cut_;
+    std::map<std::string, entrance> entrances_; // by address
     std::map<std::string, std::map<std::string, row>> tables_;
     std::uint64_t version_ = 100;
     steady::time_point start_ = steady::now();
