Review: a long answer to a repeatable request that breaks off takes those behind it along

Cause: an answer over 1 MiB on a route that isn't for downloads is written in parts while requests behind it have been passed on (known by reading).

--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -11,7 +11,7 @@
 constexpr double drain_ms = 2500;
 constexpr int linger_ms = 9000; // servers serve for drainMs after the ack "and a little longer (at times many seconds)"
 constexpr double contact_ms = 3000;
-constexpr int clients_per_machine = 6;
+constexpr int clients_per_machine = 12;
 
 const std::vector<std::pair<std::string, std::string>> zones{{"kitami-a", "dotou"}, {"sapporo-a", "doou"}, {"asahikawa-a", "dohoku"},
                                                              {"kitami-b", "dotou"}, {"sapporo-b", "doou"}, {"asahikawa-b", "dohoku"}};
@@ -138,14 +138,14 @@
             co_await at(500);
         cut(metadata, log, machines[i]);
     }
-    // Planned work: one server in four leaves, and later one more. Neither reports `draining`.
+    // Planned work: one server in four leaves, and 0.1 s later one more. Neither reports `draining`.
     std::map<std::string, double> acked_ms;
     // They are those of dotou: kitami-a and kitami-b.
     std::vector<server*> leaving;
     leaving.push_back(servers[0].get());
     leaving.push_back(servers[3].get());
     for (std::size_t i = 0; i < leaving.size(); ++i) {
-        co_await at(4000 + static_cast<int>(i) * 1000);
+        co_await at(4000 + static_cast<int>(i) * 100);
         acked_ms[leaving[i]->id()] = leaving[i]->leave_table();
     }
     co_await at(12000);
--- a/review/stand_ins_2.cc
+++ b/review/stand_ins_2.cc
@@ -477,6 +477,14 @@
             answer.body().resize(std::max(answer.body().size(), settings_.answer_bytes), 'x');
         }
         answer.prepare_payload();
+        if (got.run && broken_share_ > 0 && std::uniform_real_distribution<double>()(generator()) < broken_share_) {
+            log_.line("server %s breaks the answer to %s off", id_.c_str(), id.c_str());
+            std::ostringstream text;
+            text << answer;
+            const auto part = text.str().substr(0, text.str().size() - answer.body().size() / 5);
+            (void)co_await asio::async_write(*socket, asio::buffer(part), as_result);
+            co_return;
+        }
         const auto [write_error, written] = co_await http::async_write(*socket, answer, as_result);
         if (write_error)
             co_return;
--- a/review/stand_ins_2.hh
+++ b/review/stand_ins_2.hh
@@ -160,6 +160,8 @@
     double leave_table();
     // The process ends: nobody listens, all connections are reset, running work is lost.
     void end();
+    // Breaks a share of the answers off: the connection is closed after four fifths of the body.
+    void break_answers(double share) { broken_share_ = share; }
     bool is_up() const { return acceptor_ != nullptr; }
     unsigned running() const { return running_; }
     std::size_t lost_runs() const { return lost_runs_; }
@@ -183,6 +185,7 @@
     unsigned running_ = 0;
     unsigned waiting_ = 0;
     std::size_t lost_runs_ = 0;
+    double broken_share_ = 0;
     std::uint64_t sequence_ = 0;
 };
 
