--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -10,7 +10,8 @@
 
 constexpr double drain_ms = 2500;
 constexpr double contact_ms = 4000;
-constexpr milliseconds linger{9000}; // servers serve for drainMs after the ack and "a little longer (at times many seconds)"
+constexpr milliseconds linger{
+    9000}; // servers serve for drainMs after the ack and "a little longer (at times many seconds)"
 constexpr int clients_per_machine = 60;
 
 struct fleet_part {
@@ -65,22 +66,25 @@
                                                              {"bki-a", "sabah"},      {"sdk-b", "sabah"}};
 
 // Those of large/kwr-glb-large.toml; the routes here use the first two.
-const std::vector<fleet_part> parts{
-    {"panel-records", 453, 0.15}, {"quote-desk", 183, 0.15}, {"cartoon-vault", 36, 0}, {"came-stores", 45, 0}};
+const std::vector<fleet_part> parts{{"panel-records", 453, 0.15},
+                                    {"quote-desk", 183, 0.15},
+                                    {"cartoon-vault", 36, 0},
+                                    {"came-stores", 45, 0}};
 
 json configuration()
 {
     std::vector<std::string> services;
     for (const auto& part : parts)
         services.push_back(part.service);
-    return make_configuration("00000007",
-                              {{"records", "calls.example", "/records/", "safe", "panel-records", 1500, 600, 2, 1},
-                               {"quotes", "calls.example", "/quotes/", "unsafe", "quote-desk", 1500, 600, 2, 0}},
-                              services);
+    return make_configuration(
+        "00000007",
+        {{"records", "calls.example", "/records/", "safe", "panel-records", 1500, 600, 2, 1},
+         {"quotes", "calls.example", "/quotes/", "unsafe", "quote-desk", 1500, 600, 2, 0}},
+        services);
 }
 
-gateway_place place(const std::string& name, const std::string& ip, const std::string& zone, const std::string& region,
-                    const std::string& metadata)
+gateway_place place(const std::string& name, const std::string& ip, const std::string& zone,
+                    const std::string& region, const std::string& metadata)
 {
     gateway_place result;
     result.name = name;
@@ -120,16 +124,19 @@
             server_settings settings;
             settings.service = part.service;
             settings.zone = zones.at(servers.size() % zones.size()).first;
-            servers.push_back(std::make_unique<server>(io, metadata, log, arrivals, net.machine(10 + static_cast<int>(servers.size())),
-                                                       8080, "i-" + random_hex(8), settings));
+            servers.push_back(std::make_unique<server>(io, metadata, log, arrivals,
+                                                       net.machine(10 + static_cast<int>(servers.size())),
+                                                       "i-" + random_hex(8), settings));
             servers.back()->enter("ready");
             if (i < part.servers * part.draining_share)
                 leaving.push_back(servers.back().get());
         }
     }
     metadata.put("op", "config", configuration());
-    gateway_process near_machine(place("front-kl-a-1", net.machine(1), "kl-a", "semenanjung", near_store), folder, log);
-    gateway_process far_machine(place("front-kch-a-1", net.machine(2), "kch-a", "sarawak", far_store), folder, log);
+    gateway_process near_machine(place("front-kl-a-1", net.machine(1), "kl-a", "semenanjung", near_store),
+                                 folder, log);
+    gateway_process far_machine(place("front-kch-a-1", net.machine(2), "kch-a", "sarawak", far_store), folder,
+                                log);
     const std::vector<gateway_process*> machines = both(near_machine, far_machine);
     if (!near_machine.start() || !far_machine.start() ||
         !co_await wait_ready(io, addresses_of(machines), milliseconds(10000)))
@@ -140,11 +147,15 @@
     std::map<std::string, const gateway_process*> asked_at;
     for (int i = 0; i < clients_per_machine; ++i) {
         for (auto* machine : machines)
-            asio::co_spawn(io, ask_all_the_time(io, log, *machine, i % 2 == 0, stop, counts[machine->place().name], asked_at), asio::detached);
+            asio::co_spawn(io,
+                           ask_all_the_time(io, log, *machine, i % 2 == 0, stop,
+                                            counts[machine->place().name], asked_at),
+                           asio::detached);
     }
     co_await pause(milliseconds(5000));
 
-    // The disruption: a machine's process is killed and started again after a short delay, as planned work goes on.
+    // The disruption: a machine's process is killed and started again after a short delay, as planned work
+    // goes on.
     if (with_trouble()) {
         far_machine.signal(SIGKILL);
         co_await pause(milliseconds(700));
@@ -153,11 +164,13 @@
             co_return could_not_run;
     }
     std::map<std::string, departure> departures;
-    // "Some servers never report `draining`: their entry is removed, and they continue serving for the same time."
+    // "Some servers never report `draining`: their entry is removed, and they continue serving for the same
+    // time."
     int number = 0;
     for (auto* server : leaving) {
         const bool reports = ++number % 3 != 0;
-        departures[server->id()] = departure{reports ? server->enter("draining") : server->leave_table(), reports};
+        departures[server->id()] =
+            departure{reports ? server->enter("draining") : server->leave_table(), reports};
         co_await pause(milliseconds(8));
     }
     log.say("%zu servers drain, the last one since now", leaving.size());
@@ -186,16 +199,20 @@
         ++late[machine.place().name];
         stale.insert(got.server);
         if (++shown <= 10)
-            log.say("request %s from %s reaches server %s %.0f ms after the ack of its %s", got.id.c_str(), machine.place().name.c_str(),
-                    got.server.c_str(), got.at_ms - found->second.acked_ms, found->second.reported ? "`draining`" : "removal");
+            log.say("request %s from %s reaches server %s %.0f ms after the ack of its %s", got.id.c_str(),
+                    machine.place().name.c_str(), got.server.c_str(), got.at_ms - found->second.acked_ms,
+                    found->second.reported ? "`draining`" : "removal");
     }
     for (const auto& [name, count] : counts)
-        log.say("machine %s: %d requests, %d served, %d ended without a promise; %d reached draining servers later than drainMs after the ack", name.c_str(),
-                count.asked, count.served, count.lost, late[name]);
+        log.say("machine %s: %d requests, %d served, %d ended without a promise; %d reached draining servers "
+                "later than drainMs after the ack",
+                name.c_str(), count.asked, count.served, count.lost, late[name]);
     std::size_t lost_runs = 0;
     for (const auto* server : leaving)
         lost_runs += server->lost_runs();
-    log.say("%zu of %zu draining servers got late requests; %zu requests were running when their server ended", stale.size(), leaving.size(), lost_runs);
+    log.say(
+        "%zu of %zu draining servers got late requests; %zu requests were running when their server ended",
+        stale.size(), leaving.size(), lost_runs);
     co_return late.empty() || shown == 0 ? held : broken;
 }
 
@@ -205,5 +222,6 @@
 {
     const std::string folder = argc > 1 ? argv[1] : "review/6";
     const std::string scratch = argc > 2 ? argv[2] : folder;
-    return play([&](asio::io_context& io, record& log) { return run(io, log, scratch); }, folder, milliseconds(110000));
+    return play([&](asio::io_context& io, record& log) { return run(io, log, scratch); }, folder,
+                milliseconds(110000));
 }
--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -1,4 +1,5 @@
-// The machines of two regions lose their path to the platform's store while servers leave that report nothing.
+// The machines of two regions lose their path to the platform's store while servers leave that report
+// nothing.
 #include "../stand_ins_2.hh"
 
 #include <algorithm>
@@ -9,27 +10,32 @@
 namespace {
 
 constexpr double drain_ms = 2500;
-constexpr int linger_ms = 9000; // servers serve for drainMs after the ack "and a little longer (at times many seconds)"
+constexpr int linger_ms =
+    9000; // servers serve for drainMs after the ack "and a little longer (at times many seconds)"
 constexpr double contact_ms = 3000;
 constexpr int clients_per_machine = 12;
 
-const std::vector<std::pair<std::string, std::string>> zones{{"kitami-a", "dotou"}, {"sapporo-a", "doou"}, {"asahikawa-a", "dohoku"},
-                                                             {"kitami-b", "dotou"}, {"sapporo-b", "doou"}, {"asahikawa-b", "dohoku"}};
+const std::vector<std::pair<std::string, std::string>> zones{
+    {"kitami-a", "dotou"}, {"sapporo-a", "doou"}, {"asahikawa-a", "dohoku"},
+    {"kitami-b", "dotou"}, {"sapporo-b", "doou"}, {"asahikawa-b", "dohoku"}};
 
 // One machine in each zone.
-const std::vector<std::string> machine_zones{"kitami-a", "kitami-b", "sapporo-a", "sapporo-b", "asahikawa-a", "asahikawa-b"};
+const std::vector<std::string> machine_zones{"kitami-a",  "kitami-b",    "sapporo-a",
+                                             "sapporo-b", "asahikawa-a", "asahikawa-b"};
 
 std::string region_of(const std::string& zone)
 {
-    return std::find_if(zones.begin(), zones.end(), [&](const auto& entry) { return entry.first == zone; })->second;
+    return std::find_if(zones.begin(), zones.end(), [&](const auto& entry) { return entry.first == zone; })
+        ->second;
 }
 
 json configuration()
 {
-    return make_configuration("00000007",
-                              {{"deposits", "calls.example", "/deposits/", "unsafe", "deposit-desk", 1200, 600, 2, 1},
-                               {"listings", "calls.example", "/stock/", "safe", "ledger-stock", 1200, 600, 2, 1}},
-                              {"ledger-stock", "deposit-desk"});
+    return make_configuration(
+        "00000007",
+        {{"deposits", "calls.example", "/deposits/", "unsafe", "deposit-desk", 1200, 600, 2, 1},
+         {"listings", "calls.example", "/stock/", "safe", "ledger-stock", 1200, 600, 2, 1}},
+        {"ledger-stock", "deposit-desk"});
 }
 
 struct machine {
@@ -104,7 +110,8 @@
         settings.service = i < 4 ? "deposit-desk" : "ledger-stock";
         settings.zone = zones.at(static_cast<std::size_t>(i) % zones.size()).first;
         settings.slots = 4;
-        servers.push_back(std::make_unique<server>(io, metadata, log, arrivals, net.machine(20 + i), 8080, "i-" + random_hex(8), settings));
+        servers.push_back(std::make_unique<server>(io, metadata, log, arrivals, net.machine(20 + i),
+                                                   "i-" + random_hex(8), settings));
         servers.back()->enter("ready");
     }
     metadata.put("op", "config", configuration());
@@ -113,8 +120,10 @@
     for (std::size_t i = 0; i < machines.size(); ++i) {
         const int number = static_cast<int>(i);
         machines[i].region = region_of(machine_zones[i]);
-        machines[i].store = metadata.listen_at(net.machine(10 + number), milliseconds(machines[i].region == "dotou" ? 1 : 20));
-        machines[i].process = std::make_unique<gateway_process>(place(number, net.machine(number), machines[i].store), folder, log);
+        machines[i].store = metadata.listen_at(net.machine(10 + number),
+                                               milliseconds(machines[i].region == "dotou" ? 1 : 20));
+        machines[i].process = std::make_unique<gateway_process>(
+            place(number, net.machine(number), machines[i].store), folder, log);
         ips.push_back(net.machine(number));
         if (!machines[i].process->start())
             co_return could_not_run;
@@ -132,15 +141,16 @@
     const auto begin = steady::now();
     const auto at = [begin](int ms) { return pause_until(begin + milliseconds(ms)); };
     const bool trouble = with_trouble();
-    // The disruption: two cuts of two of the six machines each (a third), of 12 s. Those of dotou have no impairment.
+    // The disruption: two cuts of two of the six machines each (a third), of 12 s. Those of dotou have no
+    // impairment.
     for (std::size_t i = 2; trouble && i < machines.size(); ++i) {
         if (i == 4)
             co_await at(500);
         cut(metadata, log, machines[i]);
     }
-    // Planned work: one server in four leaves, and 0.1 s later one more. Neither reports `draining`.
+    // Planned work: one server in four leaves, and 0.1 s later one more, both of dotou. Neither reports
+    // `draining`.
     std::map<std::string, double> acked_ms;
-    // They are those of dotou: kitami-a and kitami-b.
     std::vector<server*> leaving;
     leaving.push_back(servers[0].get());
     leaving.push_back(servers[3].get());
@@ -167,13 +177,17 @@
             continue;
         ++machine->late;
         if (++late <= 5)
-            log.say("request %s from %s reaches server %s %.0f ms after the ack of its removal", got.id.c_str(), machine->process->place().name.c_str(),
-                    got.server.c_str(), got.at_ms - found->second);
+            log.say("request %s from %s reaches server %s %.0f ms after the ack of its removal",
+                    got.id.c_str(), machine->process->place().name.c_str(), got.server.c_str(),
+                    got.at_ms - found->second);
     }
     for (const auto& each : machines)
-        log.say("%s%s: %d requests, %d served; %d reached servers that had left, later than drainMs, in touch", each.process->place().name.c_str(),
-                each.cut_ms < 0 ? "" : " (was cut off)", each.asked, each.served, each.late);
-    log.say("%zu requests were running when these servers ended", leaving[0]->lost_runs() + leaving[1]->lost_runs());
+        log.say(
+            "%s%s: %d requests, %d served; %d reached servers that had left, later than drainMs, in touch",
+            each.process->place().name.c_str(), each.cut_ms < 0 ? "" : " (was cut off)", each.asked,
+            each.served, each.late);
+    log.say("%zu requests were running when these servers ended",
+            leaving[0]->lost_runs() + leaving[1]->lost_runs());
     co_return late == 0 ? held : broken;
 }
 
@@ -183,5 +197,6 @@
 {
     const std::string folder = argc > 1 ? argv[1] : "review/8";
     const std::string scratch = argc > 2 ? argv[2] : folder;
-    return play([&](asio::io_context& io, record& log) { return run(io, log, scratch); }, folder, milliseconds(110000));
+    return play([&](asio::io_context& io, record& log) { return run(io, log, scratch); }, folder,
+                milliseconds(110000));
 }
--- a/review/stand_ins_2.cc
+++ b/review/stand_ins_2.cc
@@ -101,6 +101,34 @@
     va_end(arguments);
 }
 
+std::uint16_t number_of(port which)
+{
+    constexpr std::uint16_t ports = 7;
+    static const std::uint16_t first = [] {
+        asio::io_context io;
+        for (;;) {
+            // Below the ports that the system gives to outgoing connections.
+            const auto base = static_cast<std::uint16_t>(10000 + generator()() % 20000);
+            bool free = true;
+            for (std::uint16_t i = 0; free && i < ports; ++i) {
+                boost::system::error_code error;
+                tcp::acceptor held(io);
+                held.open(tcp::v4(), error);
+                held.bind({tcp::v4(), static_cast<std::uint16_t>(base + i)}, error);
+                free = !error;
+            }
+            if (free)
+                return base;
+        }
+    }();
+    return static_cast<std::uint16_t>(first + static_cast<std::uint16_t>(which));
+}
+
+std::string with_port(const std::string& ip, port which)
+{
+    return ip + ":" + std::to_string(number_of(which));
+}
+
 addresses::addresses()
     : second_(16 + static_cast<int>(generator()() % 200)), third_(static_cast<int>(generator()() % 250))
 {}
@@ -182,7 +210,8 @@
 
 std::int64_t unix_ms()
 {
-    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
 }
 
 // --- the store
@@ -191,7 +220,7 @@
 
 std::string store::listen_at(const std::string& ip, milliseconds one_way)
 {
-    const std::string address = ip + ":8642";
+    const std::string address = with_port(ip, port::store);
     auto& opened = entrances_[address];
     opened.ip = ip;
     opened.one_way = one_way;
@@ -201,7 +230,8 @@
 
 void store::open(entrance& opened)
 {
-    opened.acceptor = std::make_shared<tcp::acceptor>(io_, tcp::endpoint(asio::ip::make_address(opened.ip), 8642));
+    opened.acceptor = std::make_shared<tcp::acceptor>(
+        io_, tcp::endpoint(asio::ip::make_address(opened.ip), number_of(port::store)));
     asio::co_spawn(io_, accept(opened.acceptor, opened), asio::detached);
 }
 
@@ -233,8 +263,8 @@
 std::uint64_t store::put(const std::string& table, const std::string& key, const json& value)
 {
     tables_[table][key] = {value.dump(), ++version_, false};
-    log_.line("store: %s/%s = %s, version %llu", table.c_str(), key.c_str(), value.dump().substr(0, 200).c_str(),
-              static_cast<unsigned long long>(version_));
+    log_.line("store: %s/%s = %s, version %llu", table.c_str(), key.c_str(),
+              value.dump().substr(0, 200).c_str(), static_cast<unsigned long long>(version_));
     return version_;
 }
 
@@ -261,7 +291,7 @@
 
 awaitable<void> store::serve(std::shared_ptr<tcp::socket> socket, const entrance& at)
 {
-    const std::string address = at.ip + ":8642";
+    const std::string address = with_port(at.ip, port::store);
     beast::flat_buffer buffer;
     for (;;) {
         request call;
@@ -322,7 +352,8 @@
         else {
             ++version_;
             for (const auto& write : transaction.at("writes"))
-                tables_[write.at("tableName")][write.at("key")] = {from_base64(write.at("value")).value_or(""), version_, false};
+                tables_[write.at("tableName")][write.at("key")] = {
+                    from_base64(write.at("value")).value_or(""), version_, false};
             for (const auto& removal : transaction.at("remove"))
                 tables_[removal.at("tableName")][removal.at("key")] = {"", version_, true};
         }
@@ -344,7 +375,8 @@
         // At most 500 rows of one moment, in the order of their keys.
         const auto table = parameter(target, "tableName");
         const auto from = parameter(target, "from");
-        const auto limit = std::min<std::uint64_t>(number(parameter(target, "limit")) == 0 ? 500 : number(parameter(target, "limit")), 500);
+        const auto limit = std::min<std::uint64_t>(
+            number(parameter(target, "limit")) == 0 ? 500 : number(parameter(target, "limit")), 500);
         auto rows = json::array();
         bool more = false;
         for (const auto& [key, row] : tables_[table]) {
@@ -354,10 +386,15 @@
                 more = true;
                 break;
             }
-            rows.push_back({{"tableName", table}, {"part", ""}, {"key", key}, {"ver", row.version}, {"value", base64(row.value)}});
+            rows.push_back({{"tableName", table},
+                            {"part", ""},
+                            {"key", key},
+                            {"ver", row.version},
+                            {"value", base64(row.value)}});
         }
-        log_.line("store: list of %s from '%s' for %s: %zu rows, more %d, version %llu", table.c_str(), from.c_str(), called.c_str(),
-                  rows.size(), more ? 1 : 0, static_cast<unsigned long long>(version_));
+        log_.line("store: list of %s from '%s' for %s: %zu rows, more %d, version %llu", table.c_str(),
+                  from.c_str(), called.c_str(), rows.size(), more ? 1 : 0,
+                  static_cast<unsigned long long>(version_));
         if (on_list)
             on_list(table, from, called, rows.size());
         body["rows"] = std::move(rows);
@@ -371,11 +408,12 @@
 
 // --- a server
 
-server::server(asio::io_context& io, store& of, record& log, std::vector<arrival>& arrivals, const std::string& ip,
-               std::uint16_t port, std::string id, server_settings settings)
-    : io_(io), store_(of), log_(log), arrivals_(arrivals), ip_(ip), port_(port), id_(std::move(id)),
+server::server(asio::io_context& io, store& of, record& log, std::vector<arrival>& arrivals,
+               const std::string& ip, std::string id, server_settings settings)
+    : io_(io), store_(of), log_(log), arrivals_(arrivals), ip_(ip), id_(std::move(id)),
       settings_(std::move(settings)),
-      acceptor_(std::make_shared<tcp::acceptor>(io, tcp::endpoint(asio::ip::make_address(ip), port)))
+      acceptor_(std::make_shared<tcp::acceptor>(
+          io, tcp::endpoint(asio::ip::make_address(ip), number_of(port::servers))))
 {
     asio::co_spawn(io_, accept(acceptor_), asio::detached);
 }
@@ -383,8 +421,12 @@
 double server::enter(const std::string& state)
 {
     store_.put("servers", id_,
-               {{"address", ip_ + ":" + std::to_string(port_)},
-                {"info", {{"service", settings_.service}, {"version", "v1"}, {"zone", settings_.zone}, {"slots", settings_.slots}}},
+               {{"address", with_port(ip_, port::servers)},
+                {"info",
+                 {{"service", settings_.service},
+                  {"version", "v1"},
+                  {"zone", settings_.zone},
+                  {"slots", settings_.slots}}},
                 {"status", {{"state", state}, {"sequence", ++sequence_}, {"coldLeftMs", 0}}},
                 {"born", born_}});
     return log_.now_ms();
@@ -441,7 +483,8 @@
         const std::string id(call["Request-Id"]);
         arrival got{log_.now_ms(), id, id_, std::string(call.target()), false};
         http::response<http::string_body> answer(http::status::ok, 11);
-        answer.set("Server-Load", std::to_string(running_) + "," + std::to_string(waiting_) + "," + std::to_string(settings_.slots));
+        answer.set("Server-Load", std::to_string(running_) + "," + std::to_string(waiting_) + "," +
+                                      std::to_string(settings_.slots));
         if (!id.empty())
             answer.set("Request-Id", id);
         if (call.target() == "/health") {
@@ -450,7 +493,8 @@
         else if (!call["Target-Instance"].empty() && call["Target-Instance"] != id_) {
             answer.result(http::status::misdirected_request);
             answer.set("Instance-Id", id_);
-            log_.line("server %s: request %s is for %s: 421", id_.c_str(), id.c_str(), std::string(call["Target-Instance"]).c_str());
+            log_.line("server %s: request %s is for %s: 421", id_.c_str(), id.c_str(),
+                      std::string(call["Target-Instance"]).c_str());
         }
         else if (running_ >= settings_.slots && waiting_ >= settings_.queue) {
             answer.result(http::status::service_unavailable);
@@ -477,7 +521,8 @@
             answer.body().resize(std::max(answer.body().size(), settings_.answer_bytes), 'x');
         }
         answer.prepare_payload();
-        if (got.run && broken_share_ > 0 && std::uniform_real_distribution<double>()(generator()) < broken_share_) {
+        if (got.run && broken_share_ > 0 &&
+            std::uniform_real_distribution<double>()(generator()) < broken_share_) {
             log_.line("server %s breaks the answer to %s off", id_.c_str(), id.c_str());
             std::ostringstream text;
             text << answer;
@@ -510,12 +555,18 @@
     const auto file = folder_ + "/" + place_.name + ".ini";
     {
         std::ofstream out(file);
-        out << "[instance]\nname = " << place_.name << "\ndata_centre = " << place_.zone << "\nregion = " << place_.region
-            << "\ncpu_share = " << place_.cpu_share << "\ncore_speed = 1\nmax_descriptors = 4100\n\n[listen]\ncallers = "
-            << place_.ip << ":8641\nreadiness = " << place_.ip << ":8640\nlookups = " << place_.ip << ":8644\npeers = "
-            << place_.ip << ":7620\nmetrics = " << place_.ip << ":9464\n\n[platform]\nstore = " << place_.store
-            << "\n\n[timing]\ngrace_s = " << place_.grace_s << "\n; read by builds that don't know grace_s\ngrace_ms = "
-            << place_.grace_s << "000\n\n[steering]\nlargest_shift = 0.15\ncold_multiplier = 1.5\ncold_slack = 5\nretry_ratio = 0.2\n"
+        out << "[instance]\nname = " << place_.name << "\ndata_centre = " << place_.zone
+            << "\nregion = " << place_.region << "\ncpu_share = " << place_.cpu_share
+            << "\ncore_speed = 1\nmax_descriptors = 4100\n\n[listen]\ncallers = "
+            << with_port(place_.ip, port::callers)
+            << "\nreadiness = " << with_port(place_.ip, port::readiness)
+            << "\nlookups = " << with_port(place_.ip, port::lookups)
+            << "\npeers = " << with_port(place_.ip, port::peers)
+            << "\nmetrics = " << with_port(place_.ip, port::metrics)
+            << "\n\n[platform]\nstore = " << place_.store << "\n\n[timing]\ngrace_s = " << place_.grace_s
+            << "\n; read by builds that don't know grace_s\ngrace_ms = " << place_.grace_s
+            << "000\n\n[steering]\nlargest_shift = 0.15\ncold_multiplier = 1.5\ncold_slack = 5\nretry_ratio "
+               "= 0.2\n"
             << "retry_extra = 60\n\n[data_centres]\n";
         for (const auto& [zone, region] : place_.zones)
             out << zone << " = " << region << "\n";
@@ -523,7 +574,8 @@
     const auto output = folder_ + "/" + place_.name + ".log";
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output.c_str(), O_WRONLY | O_CREAT | O_APPEND,
+                                     0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const auto variable = "KNAPWEEDPICK_NODE_FILE=" + file;
@@ -539,7 +591,8 @@
     environment.push_back(nullptr);
     std::string program = "target/knapweed-gateway";
     char* arguments[] = {program.data(), nullptr};
-    const int failed = ::posix_spawn(&pid_, program.c_str(), &actions, nullptr, arguments, environment.data());
+    const int failed =
+        ::posix_spawn(&pid_, program.c_str(), &actions, nullptr, arguments, environment.data());
     posix_spawn_file_actions_destroy(&actions);
     if (failed != 0)
         pid_ = 0;
@@ -577,7 +630,8 @@
 
 std::string to_text(const question& asked)
 {
-    std::string text = asked.method + " " + asked.path + " HTTP/1.1\r\nHost: " + asked.host + "\r\nRequest-Id: " + asked.id +
+    std::string text = asked.method + " " + asked.path + " HTTP/1.1\r\nHost: " + asked.host +
+                       "\r\nRequest-Id: " + asked.id +
                        "\r\nDeadline-Remaining: " + std::to_string(asked.deadline_ms) + "\r\n";
     if (!asked.body.empty() || asked.method == "POST")
         text += "Content-Length: " + std::to_string(asked.body.size()) + "\r\n";
@@ -587,7 +641,8 @@
 client::client(asio::io_context& io, const std::string& address) : io_(io), socket_(io)
 {
     const auto colon = address.rfind(':');
-    remote_ = {asio::ip::make_address(address.substr(0, colon)), static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
+    remote_ = {asio::ip::make_address(address.substr(0, colon)),
+               static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
 }
 
 awaitable<bool> client::connect(milliseconds limit)
@@ -641,8 +696,8 @@
     result.ended_ms = log.now_ms();
     if (!result.whole || result.closes)
         close();
-    log.line("client gets %u %s for %s after %.0f ms%s", result.status, result.reason.c_str(), asked.id.c_str(),
-             result.ended_ms - result.sent_ms, result.whole ? "" : ", not whole");
+    log.line("client gets %u %s for %s after %.0f ms%s", result.status, result.reason.c_str(),
+             asked.id.c_str(), result.ended_ms - result.sent_ms, result.whole ? "" : ", not whole");
     co_return result;
 }
 
@@ -662,7 +717,8 @@
         if (!error)
             socket.close(ignored);
     });
-    const auto [error] = co_await socket.async_connect({asio::ip::make_address(ip), 8640}, as_result);
+    const auto [error] =
+        co_await socket.async_connect({asio::ip::make_address(ip), number_of(port::readiness)}, as_result);
     if (error) {
         timer.cancel();
         co_return 0;
@@ -694,18 +750,29 @@
 {
     json document{{"version", version}, {"routes", json::object()}, {"services", json::object()}};
     for (const auto& route : routes)
-        document["routes"][route.name] = {{"host", route.host}, {"prefix", route.prefix}, {"kind", route.kind},
-                                          {"timeoutMs", route.timeout_ms}, {"targetLatencyMs", route.target_ms},
-                                          {"priority", route.priority}, {"service", route.service},
-                                          {"maxAttempts", route.attempts}, {"sticky", false}, {"allowedRegions", json::array()}};
+        document["routes"][route.name] = {{"host", route.host},
+                                          {"prefix", route.prefix},
+                                          {"kind", route.kind},
+                                          {"timeoutMs", route.timeout_ms},
+                                          {"targetLatencyMs", route.target_ms},
+                                          {"priority", route.priority},
+                                          {"service", route.service},
+                                          {"maxAttempts", route.attempts},
+                                          {"sticky", false},
+                                          {"allowedRegions", json::array()}};
     for (const auto& service : services)
-        document["services"][service] = {{"healthPath", "/health"}, {"maxConns", 360}, {"protocol", "h1"}, {"tls", false},
-                                         {"coldStartS", 3.0}, {"coldPerS", 9.7}};
-    document["limits"] = {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 67108864}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", idle_ms}};
+        document["services"][service] = {{"healthPath", "/health"}, {"maxConns", 360},
+                                         {"protocol", "h1"},        {"tls", false},
+                                         {"coldStartS", 3.0},       {"coldPerS", 9.7}};
+    document["limits"] = {{"maxHeaderBytes", 16384},
+                          {"maxBodyBytes", 67108864},
+                          {"headerTimeoutMs", 3000},
+                          {"idleTimeoutMs", idle_ms}};
     return document;
 }
 
-int play(const std::function<awaitable<int>(asio::io_context&, record&)>& run, const std::string& folder, milliseconds limit)
+int play(const std::function<awaitable<int>(asio::io_context&, record&)>& run, const std::string& folder,
+         milliseconds limit)
 {
     std::signal(SIGPIPE, SIG_IGN);
     if (::access("target/knapweed-gateway", X_OK) != 0) {
@@ -735,7 +802,9 @@
         }
     });
     io.run();
-    log.say("%s", result == held ? "the rule held" : result == broken ? "THE RULE WAS BROKEN" : "the case could not run");
+    log.say("%s", result == held     ? "the rule held"
+                  : result == broken ? "THE RULE WAS BROKEN"
+                                     : "the case could not run");
     return result;
 }
 
--- a/review/stand_ins_2.hh
+++ b/review/stand_ins_2.hh
@@ -1,5 +1,5 @@
-// Stand-ins of the platform's store, of backend servers and of clients, and the start of real gateways, for the
-// scripts of the second review. All run in one thread on loopback addresses and the real clock.
+// Stand-ins of the platform's store, of backend servers and of clients, and the start of real gateways, for
+// the scripts of the second review. All run in one thread on loopback addresses and the real clock.
 #pragma once
 
 #include <boost/asio.hpp>
@@ -58,6 +58,11 @@
     steady::time_point start_;
 };
 
+// Ports of this run, the same on all machines: a block that nobody listens at on any address of this machine.
+enum class port : std::uint16_t { callers, readiness, lookups, peers, metrics, store, servers };
+std::uint16_t number_of(port which);
+std::string with_port(const std::string& ip, port which);
+
 // Loopback addresses of this run, drawn at random so that two runs don't meet.
 class addresses {
 public:
@@ -82,11 +87,12 @@
 public:
     store(asio::io_context& io, record& log);
 
-    // Takes calls at a further address, as those of machines at a distance. A gateway doesn't bind its calls to its own
-    // address, so machines are told apart by the address that they call.
-    // Returns the address for the settings.
+    // Takes calls at a further address, as those of machines at a distance. A gateway doesn't bind its calls
+    // to its own address, so machines are told apart by the address that they call. Returns the address for
+    // the settings.
     std::string listen_at(const std::string& ip, milliseconds one_way);
-    // Cuts the machines that call an address off: their connections are reset, new ones are refused; or heals the cut.
+    // Cuts the machines that call an address off: their connections are reset, new ones are refused; or heals
+    // the cut.
     void cut(const std::string& address);
     void heal(const std::string& address);
     // When a machine last began to wait for changes, by the address that it calls.
@@ -98,7 +104,9 @@
     // Time in which a call is answered; the pages give 4 ms.
     milliseconds answer_time{4};
     // Called when the rows of a list have been read, before they are sent.
-    std::function<void(const std::string& table, const std::string& from, const std::string& called, std::size_t rows)> on_list;
+    std::function<void(const std::string& table, const std::string& from, const std::string& called,
+                       std::size_t rows)>
+        on_list;
 
 private:
     struct row {
@@ -150,8 +158,8 @@
 // A backend server that keeps to the pages.
 class server {
 public:
-    server(asio::io_context& io, store& of, record& log, std::vector<arrival>& arrivals, const std::string& ip,
-           std::uint16_t port, std::string id, server_settings settings);
+    server(asio::io_context& io, store& of, record& log, std::vector<arrival>& arrivals,
+           const std::string& ip, std::string id, server_settings settings);
 
     const std::string& id() const { return id_; }
     const server_settings& settings() const { return settings_; }
@@ -176,7 +184,6 @@
     record& log_;
     std::vector<arrival>& arrivals_;
     std::string ip_;
-    std::uint16_t port_;
     std::string id_;
     server_settings settings_;
     std::int64_t born_ = unix_ms();
@@ -210,7 +217,7 @@
     gateway_process& operator=(const gateway_process&) = delete;
 
     const gateway_place& place() const { return place_; }
-    std::string callers() const { return place_.ip + ":8641"; }
+    std::string callers() const { return with_port(place_.ip, port::callers); }
     bool start();
     void signal(int number);
     // Waits for the end after a signal; returns the wait status, or nothing while it runs.
@@ -230,9 +237,9 @@
     double sent_ms = 0;
     double ended_ms = 0;
     bool connected = false;
-    bool whole = false;     // a complete answer
-    unsigned status = 0;    // 0 without an answer
-    bool closes = false;    // it announces that the connection closes
+    bool whole = false;  // a complete answer
+    unsigned status = 0; // 0 without an answer
+    bool closes = false; // it announces that the connection closes
     std::string seal;
     std::string id;
     std::string body;
