Take no change beside the pages of a first list for known

Callers: requests reached servers up to 9 s after the store had confirmed that they leave, and those that ran there when a server ended were lost.

Cause: a list of over 500 rows or 1 MB takes several calls. A row of the first page that changes before the second page is read isn't in the list. The feed that follows the first page's version returns it, but the newest change in the copy had been taken from the newest row of any page, and rows of the feed that weren't newer were dropped as known.

Change: store_reader_role decides, without I/O, what a list and what the feed mean for a copy. The newest change of a list is that of the newest row which the list's version covers; the feed is shortened by what the copy is complete up to.

--- a/source/steering/store_reader_role.cpp
+++ b/source/steering/store_reader_role.cpp
@@ -114,6 +114,44 @@
     return is_new_era || time_.now() - *copy.behind_since >= change_delivery_time;
 }
 
+table_change store_reader_role::change_of_list(replicated_table table, std::vector<table_row> rows,
+                                               std::uint64_t version) const
+{
+    table_change change;
+    change.table = table;
+    change.version = version;
+    change.era = era_;
+    change.rows = std::move(rows);
+    // A list does not contain removed rows. Of a table that is listed again, changes were missed that this
+    // instance will not broadcast: others read them when they are told of the list's version.
+    if (this->version(table) > 0) {
+        change.newest = version;
+        return change;
+    }
+    for (const auto& row : change.rows) {
+        if (row.version <= version)
+            change.newest = std::max(change.newest, row.version);
+    }
+    return change;
+}
+
+table_change store_reader_role::change_of_feed(replicated_table table, std::vector<table_row> rows,
+                                               std::uint64_t version) const
+{
+    table_change change;
+    change.table = table;
+    change.follows = newest_change(table);
+    change.newest = change.follows;
+    change.version = version;
+    change.era = era_;
+    change.rows = std::move(rows);
+    // Another instance may have sent some of them, and later ones, while the store was read.
+    std::erase_if(change.rows, [has = this->version(table)](const auto& row) { return row.version <= has; });
+    for (const auto& row : change.rows)
+        change.newest = std::max(change.newest, row.version);
+    return change;
+}
+
 void store_reader_role::set_table_version(replicated_table table, std::uint64_t newest_change,
                                           std::uint64_t version)
 {
--- a/source/steering/store_reader_role.h
+++ b/source/steering/store_reader_role.h
@@ -52,6 +52,15 @@
     /** @returns the latest era that the store stated to this instance, 0 when it stated none. */
     [[nodiscard]] std::uint64_t era() const noexcept { return era_; }
 
+    /** @returns a complete list of a table's rows as a change that replaces the copy.
+        @param version up to which the list is complete. Its pages are read one after the other: rows of
+        later pages may be newer, and other changes of that time are missing. */
+    [[nodiscard]] table_change change_of_list(replicated_table table, std::vector<table_row> rows,
+                                              std::uint64_t version) const;
+    /** @returns rows of the feed of a table as a change of the copy, without those that the copy has.
+        @param version up to which the table has no other changes. */
+    [[nodiscard]] table_change change_of_feed(replicated_table table, std::vector<table_row> rows,
+                                              std::uint64_t version) const;
     /** Records that the copy of a table is complete up to a version of the store.
         @param newest_change version of the newest change in the table. */
     void set_table_version(replicated_table table, std::uint64_t newest_change, std::uint64_t version);
@@ -65,7 +74,8 @@
     [[nodiscard]] bool is_of_later_era(const table_change& change) const;
     /** Records that the rows of a change of a later era were applied. */
     void record_applied(const table_change& change);
-    /** @returns the version of the newest change in the copy of a table. */
+    /** @returns the version of a change that the copy has, together with all before it; the newest one that
+     * is known. Rows that were listed ahead of the rest are newer. */
     [[nodiscard]] std::uint64_t newest_change(replicated_table table) const;
     /** @returns the version of the store up to which the copy of a table is complete; 0 without a copy. */
     [[nodiscard]] std::uint64_t version(replicated_table table) const;
@@ -85,7 +95,7 @@
 
 private:
     struct table_copy {
-        store_position newest_change;
+        store_position newest_change;    ///< not after `position`
         store_position position;         ///< the copy is complete up to it
         store_position newest_of_peers;  ///< newest change that another instance has
         store_position applied_of_later; ///< newest change of a later era whose rows were applied
--- a/tests/platform/store_fake.cpp
+++ b/tests/platform/store_fake.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <thread>
+#include <utility>
 
 namespace knapweed::test {
 
@@ -74,6 +75,31 @@
     ++era_;
 }
 
+void store_fake::before_page(const std::string& name, const std::string& from, std::function<void()> action)
+{
+    const std::lock_guard lock(mutex_);
+    before_page_ = {name, from, std::move(action)};
+}
+
+void store_fake::run_page_action(const std::string& target)
+{
+    std::function<void()> action;
+    {
+        const std::lock_guard lock(mutex_);
+        if (query_parameter(target, "tableName") == before_page_.table &&
+            query_parameter(target, "from") == before_page_.from)
+            action = std::exchange(before_page_.run, {});
+    }
+    if (action)
+        action(); // it writes rows, without the lock
+}
+
+void store_fake::forget_history()
+{
+    const std::lock_guard lock(mutex_);
+    history_start_ = ++version_;
+}
+
 std::uint64_t store_fake::version() const
 {
     const std::lock_guard lock(mutex_);
@@ -164,6 +190,8 @@
     if (target.find_first_of(" #") != std::string::npos)
         return {make_answer("400 Bad Request", "")};
     const bool is_feed = target.find("/rows-feed") != std::string::npos;
+    if (target.find("/rows-get") != std::string::npos)
+        run_page_action(target);
     for (int rounds = 0;; ++rounds) {
         {
             const std::lock_guard lock(mutex_);
@@ -181,7 +209,8 @@
             }
             if (!is_feed)
                 return reply_with(list(target));
-            if (std::stoull(query_parameter(target, "after")) > version_)
+            const auto after = std::stoull(query_parameter(target, "after"));
+            if (after > version_ || after < history_start_)
                 return {make_answer("410 Gone", "{}")};
             auto changes = feed(target);
             if (changes.find("\"rows\":[]") == std::string::npos || rounds == 20)
--- a/tests/platform/store_fake.h
+++ b/tests/platform/store_fake.h
@@ -2,6 +2,7 @@
 
 #include "net/upstream_fake.h"
 
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -41,6 +42,10 @@
     [[nodiscard]] table_copy copy() const;
     /** Comes back from an older copy, in the next era. */
     void restore(const table_copy& older);
+    /** Calls a function once, before the page of a list of @p name that begins with the key @p from. */
+    void before_page(const std::string& name, const std::string& from, std::function<void()> action);
+    /** Discards the history: reads of the feed from an earlier version are answered with 410. */
+    void forget_history();
     /** @returns the version of the newest row. */
     [[nodiscard]] std::uint64_t version() const;
     /** Sets the rate at which answers are sent. @param bytes_per_second 0 for no limit. */
@@ -51,7 +56,14 @@
     [[nodiscard]] std::size_t calls() const { return server_.requests().size(); }
 
 private:
+    struct page_action {
+        std::string table;
+        std::string from;
+        std::function<void()> run;
+    };
+
     scripted_reply answer(const std::string& request);
+    void run_page_action(const std::string& target);
     [[nodiscard]] bool is_silenced_connection();
     [[nodiscard]] scripted_reply reply_with(const std::string& body) const;
     [[nodiscard]] std::string make_answer(const std::string& status, const std::string& body) const;
@@ -64,7 +76,9 @@
     mutable std::mutex mutex_;
     std::map<std::string, table> tables_;
     std::uint64_t version_ = 0;
+    std::uint64_t history_start_ = 0;
     std::uint64_t era_ = 1;
+    page_action before_page_;
     fault fault_ = fault::none;
     std::size_t bytes_per_second_ = 0;
     std::uint64_t silenced_before_ = 0; ///< connections with a smaller number are silent
--- a/tests/steering/store_reader_role_test.cpp
+++ b/tests/steering/store_reader_role_test.cpp
@@ -196,6 +196,25 @@
     REQUIRE_FALSE(role.can_apply(change));
 }
 
+// Guards against changes that are taken for known because the list of a starting instance holds a newer row.
+TEST_CASE("a list states no change as known that is newer than the version it is complete up to")
+{
+    region_fixture region(1);
+    auto& role = region.members.front()->role;
+    const auto list = role.change_of_list(replicated_table::servers, {{"a", "", 30}, {"z", "", 52}}, 50);
+    CHECK(list.newest == 30);
+    role.set_listed(replicated_table::servers, list.newest, list.version);
+    CHECK(role.view().newest_change.at(index_of(replicated_table::servers)) == 30);
+
+    const auto change =
+        role.change_of_feed(replicated_table::servers, {{"a", "", 51, true}, {"z", "", 52}}, 53);
+    REQUIRE(change.rows.size() == 2);
+    CHECK(change.rows.front().key == "a");
+    CHECK(change.newest == 52);
+    role.set_table_version(replicated_table::servers, change.newest, change.version);
+    CHECK(role.change_of_feed(replicated_table::servers, {{"z", "", 52}}, 53).rows.empty());
+}
+
 // Guards against expired entries that count as removed, and against one reader without the store that makes
 // all instances treat the store as unreachable.
 TEST_CASE("the store counts as unreachable when most readers cannot reach it")
