Let the first broadcast after a list follow the list, not its newest row

Callers: requests reached servers that had left, from an instance that had no trouble itself, while the reader of its region was killed and started again.

Cause: a list doesn't show removals. The newest row of a starting reader's list was taken for the newest change, and its first broadcast claimed to follow that. Instances that had missed a removal in between applied the broadcast and took their copies for complete.

Change: a copy holds latest_possible_change, from which on the table has no change: the version of a list or of a copy taken from another instance, later that of each change. A broadcast follows it, so an instance whose copy ends before it reads the feed once.

--- a/source/steering/store_reader_role.cpp
+++ b/source/steering/store_reader_role.cpp
@@ -140,8 +140,8 @@
 {
     table_change change;
     change.table = table;
-    change.follows = newest_change(table);
-    change.newest = change.follows;
+    change.follows = latest_possible_change(table);
+    change.newest = newest_change(table);
     change.version = version;
     change.era = era_;
     change.rows = std::move(rows);
@@ -158,6 +158,7 @@
     auto& copy = copies_.at(index_of(table));
     copy.newest_change = std::max(copy.newest_change, {era_, newest_change});
     copy.position = std::max(copy.position, {era_, version});
+    copy.latest_possible = std::max(copy.latest_possible, copy.newest_change);
     copy.checked_era = copy.newest_of_peers.era;
     copy.behind_since.reset();
 }
@@ -167,6 +168,7 @@
     auto& copy = copies_.at(index_of(table));
     copy.newest_change = {};
     copy.position = {};
+    copy.latest_possible = {era_, version};
     set_table_version(table, newest_change, version);
 }
 
@@ -195,6 +197,12 @@
     return newest.era == era_ ? newest.version : 0;
 }
 
+std::uint64_t store_reader_role::latest_possible_change(replicated_table table) const
+{
+    const auto& latest = copies_.at(index_of(table)).latest_possible;
+    return latest.era == era_ ? latest.version : 0;
+}
+
 std::uint64_t store_reader_role::version(replicated_table table) const
 {
     return copies_.at(index_of(table)).position.version;
--- a/source/steering/store_reader_role.h
+++ b/source/steering/store_reader_role.h
@@ -64,7 +64,8 @@
     /** Records that the copy of a table is complete up to a version of the store.
         @param newest_change version of the newest change in the table. */
     void set_table_version(replicated_table table, std::uint64_t newest_change, std::uint64_t version);
-    /** Records that the copy of a table was replaced by a list that is complete up to a version. */
+    /** Records that the copy of a table was replaced by a list that is complete up to a version, or by the
+        copy of another instance. Neither shows whether rows were removed after @p newest_change. */
     void set_listed(replicated_table table, std::uint64_t newest_change, std::uint64_t version);
     /** @returns whether the change can be applied to the copy: the copy has all changes before it, but not
      * this one. */
@@ -97,6 +98,7 @@
     struct table_copy {
         store_position newest_change;    ///< not after `position`
         store_position position;         ///< the copy is complete up to it
+        store_position latest_possible;  ///< from here to `position` the table has no change
         store_position newest_of_peers;  ///< newest change that another instance has
         store_position applied_of_later; ///< newest change of a later era whose rows were applied
         std::uint64_t checked_era = 0;   ///< of another instance when the store was read last
@@ -104,6 +106,8 @@
         std::optional<core::time_point> behind_since;
     };
 
+    /** @returns up to which version the table may have changes that a copy needs before the next one. */
+    [[nodiscard]] std::uint64_t latest_possible_change(replicated_table table) const;
     [[nodiscard]] bool has_reader() const;
     /** @returns whether the versions of another instance can be compared with those of this one: an instance
      * of a build that doesn't know eras may still hold versions of an earlier one. */
--- a/source/steering/table_change.h
+++ b/source/steering/table_change.h
@@ -39,7 +39,8 @@
 /** Changes of a table that a reader read from the store and sends to other instances. */
 struct table_change {
     replicated_table table = replicated_table::operators;
-    /** Version of the newest change before these. A copy without that change can't apply these. */
+    /** Up to this version there may be changes before these; after it there are none. A copy that isn't
+       complete up to it can't apply these. */
     std::uint64_t follows = 0;
     std::uint64_t newest = 0;  ///< version of the newest of these changes
     std::uint64_t version = 0; ///< version of the store up to which the table has no other changes
--- a/tests/steering/store_reader_role_test.cpp
+++ b/tests/steering/store_reader_role_test.cpp
@@ -215,6 +215,44 @@
     CHECK(role.change_of_feed(replicated_table::servers, {{"z", "", 52}}, 53).rows.empty());
 }
 
+// Guards against servers that stay in use for good because their entries were removed while the region's
+// reader was restarting: its list doesn't show removals, and its first broadcast claimed that there had been
+// none.
+TEST_CASE("the first change after a list can't be applied by an instance that may lack a removal before it")
+{
+    region_fixture region(2);
+    auto& reader = *region.members.at(0);
+    auto& follower = *region.members.at(1);
+    follower.role.set_table_version(replicated_table::servers, 40, 50);
+    // Row 55 was removed before the list.
+    const auto list = reader.role.change_of_list(replicated_table::servers, {{"a", "", 40}}, 60);
+    reader.role.set_listed(replicated_table::servers, list.newest, list.version);
+    const auto read_change = [&reader](std::uint64_t version) {
+        const auto change =
+            reader.role.change_of_feed(replicated_table::servers, {{"b", "", version, true}}, version);
+        reader.role.set_table_version(replicated_table::servers, change.newest, change.version);
+        return change;
+    };
+    reader.role.set_table_version(replicated_table::servers, 40, 70); // an answer without changes
+    CHECK_FALSE(follower.role.can_apply(read_change(75)));
+
+    follower.role.set_table_version(replicated_table::servers, 75, 80); // read from the store
+    CHECK(follower.role.can_apply(read_change(85)));
+}
+
+// Guards against the same after a copy that another instance sent and had listed itself.
+TEST_CASE("the first change after a copy from another instance names what the copy is complete up to")
+{
+    region_fixture region(2);
+    auto& sender = *region.members.at(0);
+    auto& receiver = *region.members.at(1);
+    const auto list = sender.role.change_of_list(replicated_table::operators, {{"a", "", 40}}, 60);
+    receiver.role.set_table_version(replicated_table::operators, 20, 30);
+    receiver.role.set_listed(replicated_table::operators, list.newest, list.version);
+    CHECK(receiver.role.newest_change(replicated_table::operators) == 40);
+    CHECK(receiver.role.change_of_feed(replicated_table::operators, {{"b", "", 75}}, 75).follows == 60);
+}
+
 // Guards against expired entries that count as removed, and against one reader without the store that makes
 // all instances treat the store as unreachable.
 TEST_CASE("the store counts as unreachable when most readers cannot reach it")
