Believe removals in regions that reach the store, whatever most other readers say

Cause: a removed entry was taken for one that may have expired while most readers anywhere reported that the store didn't answer them. It had answered the instance itself, whose region is that of the servers.

Change: entry_expiry holds by region whether removed entries may have expired. A region whose reader the store answers, this instance or another, is exempt from the vote, unless a call of a reader there failed within 3.5 s: the instance that takes over as reader claims an answer until its first call has failed.

Why it works: servers of a region whose instances reach the store reach it, too, so an entry that is removed there belongs to a server that has left. Where all instances of a region are cut off, the vote decides as before.

server_catalogue_test.cpp sets the paths through the fixture; its checks are unchanged.

--- a/source/steering/server_catalogue.cpp
+++ b/source/steering/server_catalogue.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-/** Expired entries are registered again within about 2 s after the store has become reachable again. */
-constexpr core::milliseconds expiry_grace{2000};
 /** Servers and operators have written again what the store lost within this time after its return. */
 constexpr core::milliseconds settling_time{2000};
 /** The entry of a server that has ended is removed from the copy after this time: three intervals at which
@@ -89,9 +87,10 @@
 void server_catalogue::remove(const core::server_id& id)
 {
     outdated_records_.erase(id);
-    if (!servers_.contains(id))
+    const auto server = find(id);
+    if (!server)
         return;
-    if (store_recently_unreachable())
+    if (expiry_.is_possible(server->region()))
         missing_.try_emplace(id, time_.now());
     else
         record_departure(id);
@@ -170,16 +169,12 @@
     }
 }
 
-void server_catalogue::set_store_reachable(bool reachable)
+void server_catalogue::update_store_paths(const std::function<bool(const core::region_id&)>& is_reachable)
 {
-    if (reachable && !store_reachable_)
-        store_returned_at_ = time_.now();
-    store_reachable_ = reachable;
-}
-
-bool server_catalogue::store_recently_unreachable() const
-{
-    return !store_reachable_ || (store_returned_at_ && time_.now() - *store_returned_at_ < expiry_grace);
+    std::set<core::region_id> regions{core::region_id{}}; // that of servers in unknown data centres
+    for (const auto& [data_centre, region] : regions_)
+        regions.insert(region);
+    expiry_.update(regions, is_reachable);
 }
 
 void server_catalogue::assume_all_cold(core::duration duration)
@@ -196,8 +191,7 @@
     if (!is_settling())
         gone.assign(unconfirmed_.begin(), unconfirmed_.end());
     for (const auto& [id, since] : missing_) {
-        const auto waited = time_.now() - std::max(since, store_returned_at_.value_or(since));
-        if (store_reachable_ && waited >= expiry_grace)
+        if (expiry_.is_over(find(id)->region(), since))
             gone.push_back(id);
     }
     for (const auto& id : gone)
--- a/source/steering/server_catalogue.h
+++ b/source/steering/server_catalogue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "steering/departed_servers.h"
+#include "steering/entry_expiry.h"
 #include "steering/evacuation_list.h"
 #include "steering/traffic_policy.h"
 
@@ -22,12 +23,11 @@
 
 /** The backend servers that registered themselves in the platform's store, and the evacuated data centres.
 
-    Updated with the changes of the store in their order. While the store is unavailable, entries expire
-   although their servers still run; they are registered again within about two seconds after the store has
-   returned. Therefore, when at least half of a service's entries are removed shortly after the store was
-   unavailable, their servers stay usable for that time. If fewer are removed, their servers are treated as
-   gone: perhaps only this instance was cut off from the store, and the entries were removed because their
-   servers left.
+    Updated with the changes of the store in their order. While the servers of a region can't reach the store,
+   their entries expire although they still run. Therefore, when at least half of a service's entries are
+   removed from regions that can't reach the store, or couldn't shortly before, their servers stay usable
+   until they should have registered again. If fewer are removed, their servers are treated as gone: perhaps
+   only instances were cut off from the store, and the entries were removed because their servers left.
 
     After the store has come back from an older copy of its rows, servers that had joined since are missing
    until they have written their entries again, and those that had left are there again. For a time what was
@@ -38,7 +38,9 @@
 class server_catalogue {
 public:
     /** @param time must outlive this object. */
-    explicit server_catalogue(const core::clock& time) : time_(time), evacuations_(time), departed_(time) {}
+    explicit server_catalogue(const core::clock& time)
+        : time_(time), expiry_(time), evacuations_(time), departed_(time)
+    {}
 
     void set_regions(std::map<core::data_centre_id, core::region_id> regions);
     [[nodiscard]] const std::map<core::data_centre_id, core::region_id>& regions() const { return regions_; }
@@ -63,8 +65,8 @@
 
     /** Records that the store has come back from an older copy of its rows. A list of it follows. */
     void store_restored();
-    /** Records whether the store is reachable. */
-    void set_store_reachable(bool reachable);
+    /** Records from which regions the store is reachable; call it before each `tick`. */
+    void update_store_paths(const std::function<bool(const core::region_id&)>& is_reachable);
     /** Treats all servers as cold for a time: some may have restarted while this process was stalled. */
     void assume_all_cold(core::duration duration);
 
@@ -97,7 +99,6 @@
     [[nodiscard]] bool is_outdated(const server_record& record) const;
     /** Keeps a server that a list lacks if its entry may have been lost, or removes it. */
     void handle_unlisted(const core::server_id& id);
-    [[nodiscard]] bool store_recently_unreachable() const;
     [[nodiscard]] core::region_id region_of(const core::data_centre_id& data_centre) const;
 
     const core::clock& time_;
@@ -105,8 +106,8 @@
     std::unordered_map<core::server_id, server_pointer> servers_;
     std::unordered_map<core::service_id, std::vector<server_pointer>> by_service_;
     std::unordered_map<std::uint32_t, server_pointer> by_hash_;
-    /** Servers whose entries were removed while the store was unavailable or shortly afterwards, with the
-       time of the removal. The entries may only have expired. */
+    entry_expiry expiry_;
+    /** Servers whose entries were removed but may only have expired, with the time of the removal. */
     std::unordered_map<core::server_id, core::time_point> missing_;
     evacuation_list evacuations_;
     departed_servers departed_;
@@ -115,8 +116,6 @@
     std::unordered_set<core::server_id> unconfirmed_;
     /** Records of the copy that are older than what was known. */
     std::unordered_map<core::server_id, server_record> outdated_records_;
-    bool store_reachable_ = true;
-    std::optional<core::time_point> store_returned_at_;
 };
 
 } // namespace knapweed::steering
--- a/source/steering/steerer.cpp
+++ b/source/steering/steerer.cpp
@@ -294,7 +294,10 @@
     retries_.set_instances(peers_.known_peers() + 1);
     store_role_.tick();
     fanout_.tick(store_role_.is_leaving());
-    servers_.set_store_reachable(store_role_.store_reachable());
+    const bool most_reach_store = store_role_.store_reachable();
+    servers_.update_store_paths([this, most_reach_store](const core::region_id& region) {
+        return most_reach_store || store_role_.reaches_store(region);
+    });
     servers_.tick(policy());
     peer_loads_.tick();
     update_quotas();
--- a/source/steering/steering.h
+++ b/source/steering/steering.h
@@ -14,6 +14,7 @@
 #include "steering/crash_evidence.h"
 #include "steering/departed_servers.h"
 #include "steering/distance_table.h"
+#include "steering/entry_expiry.h"
 #include "steering/evacuation_list.h"
 #include "steering/failure_tracker.h"
 #include "steering/instance_limits.h"
--- a/source/steering/store_reader_role.cpp
+++ b/source/steering/store_reader_role.cpp
@@ -22,6 +22,10 @@
  */
 constexpr core::milliseconds answer_valid_for{2000};
 constexpr unsigned max_failures_while_valid = 1;
+/** Time for which a region doesn't count as reaching the store after one of its readers got no answer. The
+   instance that takes over claims an answer until its own first call has failed, which takes the 2.1 s of a
+   call and up to two status intervals. */
+constexpr core::milliseconds reader_handover_time{3500};
 
 /** @returns the position of an instance in the order of readers; the lowest in a region is the reader.
    Instances that the store answers come first, then larger ones, since the others take large changes from the
@@ -87,6 +91,7 @@
     calls_answered_ = answered;
     if (!answered) {
         ++failures_;
+        unanswered_at_[region_] = time_.now();
         return;
     }
     failures_ = 0;
@@ -224,10 +229,33 @@
     return 2 * readers_without_store <= readers;
 }
 
+bool store_reader_role::reaches_store(const core::region_id& region) const
+{
+    if (must_follow_store() && !calls_answered_)
+        return false;
+    const auto unanswered = unanswered_at_.find(region);
+    if (unanswered != unanswered_at_.end() && time_.now() - unanswered->second < reader_handover_time)
+        return false;
+    if (region == region_ && must_follow_store())
+        return last_answer_ && time_.now() - *last_answer_ < answer_valid_for;
+    bool answered = false;
+    peers_.visit_live(peer_table::live_timeout, [&](const instance_status& status) {
+        answered =
+            answered || (status.location.region == region && status.store.reads && status.store.reachable);
+    });
+    return answered;
+}
+
 void store_reader_role::tick()
 {
     std::array<store_position, number_of_replicated_tables> newest_of_peers{};
     peers_.visit_live(peer_table::live_timeout, [this, &newest_of_peers](const instance_status& status) {
+        // An instance that starts has no copy yet, and no answer because it has just begun to call.
+        const auto& copies = status.store.newest_change;
+        const bool has_copy =
+            std::any_of(copies.begin(), copies.end(), [](auto version) { return version > 0; });
+        if (status.store.reads && !status.store.reachable && has_copy)
+            unanswered_at_[status.location.region] = time_.now();
         if (!is_comparable(status))
             return;
         for (std::size_t i = 0; i < newest_of_peers.size(); ++i)
--- a/source/steering/store_reader_role.h
+++ b/source/steering/store_reader_role.h
@@ -3,6 +3,9 @@
 #include "steering/peer_table.h"
 #include "steering/table_change.h"
 
+#include <map>
+#include <optional>
+
 namespace knapweed::steering {
 
 /** Decides which instances watch the store continuously, and when the others have to read it themselves.
@@ -84,6 +87,9 @@
     /** @returns whether at least half of the readers can reach the store and so can this instance, if it has
        to watch the store. While the store is unavailable, entries of servers may expire. */
     [[nodiscard]] bool store_reachable() const;
+    /** @returns whether a region is known to reach the store: the store answers this instance or the region's
+       reader, and no call of a reader there has failed lately. */
+    [[nodiscard]] bool reaches_store(const core::region_id& region) const;
     /** Ends the reader role because a graceful shutdown has begun; another instance becomes the reader. */
     void leave() { leaving_ = true; }
     [[nodiscard]] bool is_leaving() const noexcept { return leaving_; }
@@ -131,6 +137,8 @@
     /** Consecutive calls without an answer. An instance that has made no call counts as one that failed. */
     unsigned failures_ = 1;
     std::optional<core::time_point> last_answer_;
+    /** When a call of a reader of each region was last without an answer. */
+    std::map<core::region_id, core::time_point> unanswered_at_;
     bool leaving_ = false;
 };
 
--- a/tests/steering/server_catalogue_test.cpp
+++ b/tests/steering/server_catalogue_test.cpp
@@ -16,6 +16,10 @@
             servers.put(test::sample_server(id));
     }
 
+    void set_store_reachable(bool reachable)
+    {
+        servers.update_store_paths([reachable](const core::region_id&) { return reachable; });
+    }
     std::size_t usable() const { return servers.usable(test::orders).size(); }
 
     core::simulated_clock time;
@@ -42,9 +46,9 @@
 TEST_CASE("a single entry that was removed while this instance was cut off is dropped at once")
 {
     catalogue_fixture fixture;
-    fixture.servers.set_store_reachable(false);
+    fixture.set_store_reachable(false);
     fixture.time.advance(milliseconds(9000));
-    fixture.servers.set_store_reachable(true);
+    fixture.set_store_reachable(true);
     fixture.servers.remove(core::server_id{"s0"});
     REQUIRE(fixture.usable() == 3);
 }
@@ -54,9 +58,9 @@
           "period ends")
 {
     catalogue_fixture fixture;
-    fixture.servers.set_store_reachable(false);
+    fixture.set_store_reachable(false);
     fixture.time.advance(milliseconds(9000));
-    fixture.servers.set_store_reachable(true);
+    fixture.set_store_reachable(true);
     for (const auto* id : {"s0", "s1", "s2"})
         fixture.servers.remove(core::server_id{id});
     REQUIRE(fixture.usable() == 4);
