Count no server that had said that it leaves among those whose entries expired

Callers: while most readers can't reach the store, requests may reach servers that left unannounced, because servers that had announced their leaving are counted with them as half of a service.

Cause: every entry that was removed in such a time was taken for one that may have expired, also that of a server which had reported itself that it leaves.

Change: the entry of a server that had begun to leave is removed at once.

Evidence: "an entry of a server that had reported that it leaves does not count as expired" fails on (4 usable instead of 3, the departed one still in the table), passes now. steering_tests: 146 of 146.

--- a/source/steering/server_catalogue.cpp
+++ b/source/steering/server_catalogue.cpp
@@ -90,7 +90,7 @@
     const auto server = find(id);
     if (!server)
         return;
-    if (expiry_.is_possible(server->region()))
+    if (!server->record().leaving && expiry_.is_possible(server->region()))
         missing_.try_emplace(id, time_.now());
     else
         record_departure(id);
--- a/source/steering/server_catalogue.h
+++ b/source/steering/server_catalogue.h
@@ -48,7 +48,8 @@
     /** Adds a server, or updates its record. A record with another start time, service, address or data
      * centre replaces the server by a new one without history. */
     void put(server_record record);
-    /** Removes a server, or marks it as missing when its entry may only have expired. */
+    /** Removes a server, or marks it as missing when its entry may only have expired. One that had begun to
+     * leave has left. */
     void remove(const core::server_id& id);
     /** Replaces all records by a complete list of the registered servers. */
     void replace_all(std::vector<server_record> records);
--- a/tests/steering/server_expiry_test.cpp
+++ b/tests/steering/server_expiry_test.cpp
@@ -134,6 +134,22 @@
     CHECK(fixture.usable() == 2);
 }
 
+// Guards against servers that are used again because others, which had said that they leave, count as
+// expired.
+TEST_CASE("an entry of a server that had reported that it leaves does not count as expired")
+{
+    expiry_fixture fixture;
+    for (const auto* id : {"far-0", "far-1"}) {
+        auto leaving = test::sample_server(id, "far");
+        leaving.leaving = true;
+        fixture.steerer.servers().put(leaving);
+    }
+    fixture.cut_off_other_regions();
+    fixture.remove({"far-0", "far-1", "third-0"});
+    CHECK(fixture.steerer.servers().find(core::server_id{"far-0"}) == nullptr);
+    CHECK(fixture.usable() == 3);
+}
+
 // Guards against refusing all requests of a service whose servers still run.
 TEST_CASE("servers of regions that are cut off from the store stay usable when their entries expire together")
 {
