--- a/tests/steering/store_reader_role_test.cpp
+++ b/tests/steering/store_reader_role_test.cpp
@@ -228,7 +228,7 @@
     const auto list = reader.role.change_of_list(replicated_table::servers, {{"a", "", 40}}, 60);
     reader.role.set_listed(replicated_table::servers, list.newest, list.version);
     const auto read_change = [&reader](std::uint64_t version) {
-        const auto change =
+        auto change =
             reader.role.change_of_feed(replicated_table::servers, {{"b", "", version, true}}, version);
         reader.role.set_table_version(replicated_table::servers, change.newest, change.version);
         return change;
